--- /dev/null
+++ b/cmd/zinniafront/main.go
@@ -0,0 +1,13 @@
+// Command zinniafront runs and operates a layer-4 load balancer.
+package main
+
+import (
+	"os"
+
+	"zinniafront/io/command/zfcmd"
+	"zinniafront/io/command/zfrootcmd"
+)
+
+func main() {
+	os.Exit(zfrootcmd.Main(zfcmd.System(), os.Args[1:]))
+}
--- /dev/null
+++ b/core/zfcontrol/machine.go
@@ -0,0 +1,302 @@
+// Package zfcontrol decides what the control state is. Its table holds the
+// accepted bundles by version; commands of operators change it one after the
+// other, each with an outcome that a repetition of the command gets again.
+package zfcontrol
+
+import (
+	"slices"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+)
+
+// Command is one thing that an operator asks for.
+type Command interface{ command() }
+
+// AcceptCommand asks to keep a signed bundle, without putting it in force.
+type AcceptCommand struct {
+	Signed []byte
+	// Digest identifies the signed document, Bundle is its content.
+	Digest string
+	Bundle *zfbundle.Bundle
+}
+
+// RollCommand asks to put an accepted bundle in force.
+type RollCommand struct {
+	Version uint64
+}
+
+// CentreCommand asks to take a data centre out or to bring it back.
+type CentreCommand struct {
+	Centre zf.CentreName
+	Out    bool
+}
+
+func (AcceptCommand) command() {}
+func (RollCommand) command()   {}
+func (CentreCommand) command() {}
+
+// Status tells what became of a command.
+type Status uint8
+
+// The statuses.
+const (
+	// StatusDone tells that the command changed the state.
+	StatusDone Status = iota
+	// StatusAlready tells that the state was as asked for.
+	StatusAlready
+	// StatusConflict tells that the version belongs to another digest.
+	StatusConflict
+	// StatusStale tells that a later version was accepted or rolled.
+	StatusStale
+	// StatusUnknown tells that there is no such bundle or data centre.
+	StatusUnknown
+	// StatusForeign tells that the bundle belongs to another deployment.
+	StatusForeign
+	// StatusLast tells that the last data centre can't be taken out.
+	StatusLast
+)
+
+var statusNames = [...]string{
+	StatusDone:     "done",
+	StatusAlready:  "already",
+	StatusConflict: "conflict",
+	StatusStale:    "stale",
+	StatusUnknown:  "unknown",
+	StatusForeign:  "foreign",
+	StatusLast:     "last",
+}
+
+// String returns the status' name in reports.
+func (s Status) String() string {
+	if int(s) >= len(statusNames) {
+		return "invalid"
+	}
+	return statusNames[s]
+}
+
+// Outcome is the answer to a command.
+type Outcome struct {
+	Status Status
+	// Sequence is the sequence of the change that the outcome tells of.
+	Sequence uint64
+	// Version and Digest identify the bundle that the outcome tells of.
+	Version uint64
+	Digest  string
+}
+
+// Accepted is one accepted bundle.
+type Accepted struct {
+	Version  uint64
+	Digest   string
+	Signed   []byte
+	Sequence uint64
+	// Rolled is the sequence at which the bundle was put in force, or 0.
+	Rolled uint64
+}
+
+// State is the whole control state. Bundles are sorted by version.
+type State struct {
+	Sequence uint64
+	Name     string
+	Bundles  []Accepted
+	// InForce is the version in force, or 0.
+	InForce uint64
+	Centres []zf.CentreName
+	Out     []Out
+}
+
+// Out is a data centre taken out, since the change with Sequence.
+type Out struct {
+	Centre   zf.CentreName
+	Sequence uint64
+}
+
+// bundlesKept is the number of accepted bundles that the state keeps.
+const bundlesKept = 64
+
+// Machine applies commands to the control state.
+type Machine struct {
+	state State
+	// centres holds the data centres of each accepted version.
+	centres map[uint64][]zf.CentreName
+}
+
+// NewMachine returns a machine that continues from state. decode returns the
+// bundle of a signed document that was accepted before.
+func NewMachine(state State, decode func(signed []byte) (*zfbundle.Bundle, error)) (*Machine, error) {
+	m := &Machine{
+		state:   state,
+		centres: make(map[uint64][]zf.CentreName),
+	}
+	for _, accepted := range state.Bundles {
+		bundle, err := decode(accepted.Signed)
+		if err != nil {
+			return nil, err
+		}
+		m.centres[accepted.Version] = centresOf(bundle)
+	}
+	return m, nil
+}
+
+func centresOf(bundle *zfbundle.Bundle) []zf.CentreName {
+	centres := make([]zf.CentreName, 0, len(bundle.Centres))
+	for _, centre := range bundle.Centres {
+		centres = append(centres, centre.Name)
+	}
+	return centres
+}
+
+// State returns the control state. Its slices must not be changed.
+func (m *Machine) State() State { return m.state }
+
+// Apply carries a command out.
+func (m *Machine) Apply(command Command) Outcome {
+	switch command := command.(type) {
+	case AcceptCommand:
+		return m.accept(command)
+	case RollCommand:
+		return m.roll(command)
+	case CentreCommand:
+		return m.centre(command)
+	default:
+		return Outcome{
+			Status: StatusUnknown,
+		}
+	}
+}
+
+func (m *Machine) find(version uint64) *Accepted {
+	for i := range m.state.Bundles {
+		if m.state.Bundles[i].Version == version {
+			return &m.state.Bundles[i]
+		}
+	}
+	return nil
+}
+
+func (m *Machine) next() uint64 {
+	m.state.Sequence++
+	return m.state.Sequence
+}
+
+func (m *Machine) accept(command AcceptCommand) Outcome {
+	version := command.Bundle.Version
+	if m.state.Name != "" && m.state.Name != command.Bundle.Name {
+		return Outcome{
+			Status:  StatusForeign,
+			Version: version,
+			Digest:  command.Digest,
+		}
+	}
+	if held := m.find(version); held != nil {
+		status := StatusAlready
+		if held.Digest != command.Digest {
+			status = StatusConflict
+		}
+		return held.outcome(status, held.Sequence)
+	}
+	if n := len(m.state.Bundles); n > 0 && m.state.Bundles[n-1].Version > version {
+		newest := m.state.Bundles[n-1]
+		return newest.outcome(StatusStale, newest.Sequence)
+	}
+	accepted := Accepted{
+		Version:  version,
+		Digest:   command.Digest,
+		Signed:   command.Signed,
+		Sequence: m.next(),
+	}
+	m.state.Name = command.Bundle.Name
+	m.state.Bundles = append(slices.Clone(m.state.Bundles), accepted)
+	m.centres[version] = centresOf(command.Bundle)
+	m.prune()
+	return accepted.outcome(StatusDone, accepted.Sequence)
+}
+
+// prune drops the oldest bundles that are not in force.
+func (m *Machine) prune() {
+	for i := 0; len(m.state.Bundles) > bundlesKept && i < len(m.state.Bundles); {
+		version := m.state.Bundles[i].Version
+		if version == m.state.InForce {
+			i++
+			continue
+		}
+		delete(m.centres, version)
+		m.state.Bundles = slices.Delete(m.state.Bundles, i, i+1)
+	}
+}
+
+func (a Accepted) outcome(status Status, sequence uint64) Outcome {
+	return Outcome{
+		Status:   status,
+		Sequence: sequence,
+		Version:  a.Version,
+		Digest:   a.Digest,
+	}
+}
+
+func (m *Machine) roll(command RollCommand) Outcome {
+	held := m.find(command.Version)
+	if held == nil {
+		status := StatusUnknown
+		if command.Version < m.state.InForce {
+			status = StatusStale
+		}
+		return Outcome{
+			Status:  status,
+			Version: command.Version,
+		}
+	}
+	if held.Rolled != 0 {
+		return held.outcome(StatusAlready, held.Rolled)
+	}
+	if command.Version < m.state.InForce {
+		newest := m.find(m.state.InForce)
+		return newest.outcome(StatusStale, newest.Rolled)
+	}
+	m.state.Bundles = slices.Clone(m.state.Bundles)
+	held = m.find(command.Version)
+	held.Rolled = m.next()
+	m.state.InForce = command.Version
+	m.state.Centres = m.centres[command.Version]
+	m.state.Out = slices.DeleteFunc(slices.Clone(m.state.Out), func(out Out) bool {
+		return !slices.Contains(m.state.Centres, out.Centre)
+	})
+	return held.outcome(StatusDone, held.Rolled)
+}
+
+func (m *Machine) centre(command CentreCommand) Outcome {
+	outcome := Outcome{
+		Status:   StatusUnknown,
+		Sequence: m.state.Sequence,
+		Version:  m.state.InForce,
+	}
+	if !slices.Contains(m.state.Centres, command.Centre) {
+		return outcome
+	}
+	i := slices.IndexFunc(m.state.Out, func(out Out) bool { return out.Centre == command.Centre })
+	switch {
+	case command.Out == (i >= 0):
+		outcome.Status = StatusAlready
+		if i >= 0 {
+			outcome.Sequence = m.state.Out[i].Sequence
+		}
+		return outcome
+	case command.Out && len(m.state.Out)+1 >= len(m.state.Centres):
+		outcome.Status = StatusLast
+		return outcome
+	}
+	outcome.Status = StatusDone
+	outcome.Sequence = m.next()
+	out := slices.Clone(m.state.Out)
+	if command.Out {
+		out = append(out, Out{
+			Centre:   command.Centre,
+			Sequence: outcome.Sequence,
+		})
+	} else {
+		out = slices.Delete(out, i, i+1)
+	}
+	m.state.Out = out
+	return outcome
+}
--- /dev/null
+++ b/core/zfflow/hash.go
@@ -0,0 +1,25 @@
+package zfflow
+
+import (
+	"encoding/binary"
+
+	"github.com/zeebo/xxh3"
+
+	zf "zinniafront"
+)
+
+// keyBytes is the length of a five-tuple: two addresses, two ports, protocol.
+const keyBytes = 16 + 16 + 2 + 2 + 1
+
+// Hash returns the 64-bit identity of a flow. Instances with the same seed
+// agree on it; the seed is secret, so that callers can't choose collisions.
+func Hash(seed uint64, flow zf.Flow) uint64 {
+	var key [keyBytes]byte
+	source, destination := flow.Source.Addr().As16(), flow.Destination.Addr().As16()
+	copy(key[0:16], source[:])
+	copy(key[16:32], destination[:])
+	binary.BigEndian.PutUint16(key[32:34], flow.Source.Port())
+	binary.BigEndian.PutUint16(key[34:36], flow.Destination.Port())
+	key[36] = byte(flow.Protocol)
+	return xxh3.HashSeed(key[:], seed)
+}
--- /dev/null
+++ b/core/zfinstance/world.go
@@ -0,0 +1,239 @@
+// Package zfinstance joins the tables and systems of one instance. A World
+// belongs to the control goroutine: events change its tables, and each tick
+// runs the systems in a fixed order and returns what is to be sent.
+package zfinstance
+
+import (
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfmember"
+	"zinniafront/core/zfrequest"
+	"zinniafront/core/zfserver"
+)
+
+// Config holds what a world is built from.
+type Config struct {
+	Member zfmember.Config
+	Mapper zf.Mapper
+	Picker zf.Picker
+	Random zf.Random
+}
+
+// State is the control state as an instance serves it.
+type State struct {
+	Sequence uint64
+	Bundle   *zfbundle.Bundle
+	// Digest identifies the bundle's signed document.
+	Digest string
+	Out    []zf.CentreName
+}
+
+// stopNotice is how long an instance that stops goes on, so that the fabric
+// and every other instance hear of it and send their last packets.
+const stopNotice = 1500 * time.Millisecond
+
+// World is one instance's tables and systems.
+type World struct {
+	self     zf.MemberView
+	members  *zfmember.Table
+	servers  *zfserver.Table
+	requests *zfrequest.Table
+	mapper   zf.Mapper
+	state    State
+	services []zf.ServiceView
+	stopping bool
+	// stopped is when the planned stop began.
+	stopped time.Time
+	view    zf.View
+	seen    revisions
+}
+
+// revisions tells whether a view is out of date.
+type revisions struct {
+	members uint64
+	servers uint64
+	state   uint64
+	ready   bool
+}
+
+// New returns a world without state.
+func New(config Config) *World {
+	return &World{
+		self:    config.Member.Self,
+		members: zfmember.New(config.Member),
+		servers: zfserver.New(zfserver.DefaultConfig()),
+		requests: zfrequest.New(zfrequest.Config{
+			Picker: config.Picker,
+			Random: config.Random,
+		}),
+		mapper: config.Mapper,
+	}
+}
+
+// Mapper returns the mapper, whose Route is for the traffic goroutines.
+func (w *World) Mapper() zf.Mapper { return w.mapper }
+
+// Members returns the table of instances.
+func (w *World) Members() *zfmember.Table { return w.members }
+
+// Servers returns the table of backend servers.
+func (w *World) Servers() *zfserver.Table { return w.servers }
+
+// Requests returns the table of requests.
+func (w *World) Requests() *zfrequest.Table { return w.requests }
+
+// Self returns this instance.
+func (w *World) Self() zf.MemberView { return w.self }
+
+// Stopping reports whether a planned stop has begun.
+func (w *World) Stopping() bool { return w.stopping }
+
+// State returns the control state in force here.
+func (w *World) State() State { return w.state }
+
+// Enforce puts a control state in force. An older one than that in force is
+// refused, so that nothing reverts.
+func (w *World) Enforce(state State) bool {
+	if state.Sequence <= w.state.Sequence {
+		return false
+	}
+	w.state = state
+	w.services = nil
+	if state.Bundle == nil {
+		return true
+	}
+	for _, service := range state.Bundle.Services {
+		w.services = append(w.services, service.View())
+	}
+	limits := state.Bundle.Limits
+	config := zfserver.DefaultConfig()
+	config.Expiry = limits.Expiry
+	config.Gone = limits.Gone
+	config.Ramp = limits.Ramp
+	w.servers.Configure(config)
+	w.requests.Configure(state.Bundle)
+	return true
+}
+
+// Announce takes an announcement that a backend server sent to this instance.
+func (w *World) Announce(a zf.Announcement, now time.Time) zf.Reason {
+	return w.announce(a, true, now)
+}
+
+func (w *World) announce(a zf.Announcement, direct bool, now time.Time) zf.Reason {
+	if w.state.Bundle == nil {
+		return zf.ReasonNotReady
+	}
+	service := w.state.Bundle.Find(a.Service)
+	if service == nil || !w.state.Bundle.HasCentre(a.Centre) {
+		return zf.ReasonBadField
+	}
+	limit := service.Pool.Capacity
+	a.Capacity.Slots = min(a.Capacity.Slots, limit.Slots)
+	a.Capacity.Connections = min(a.Capacity.Connections, limit.Connections)
+	return w.servers.Announce(a, direct, now)
+}
+
+// Receive takes a message of another instance.
+func (w *World) Receive(envelope zf.Envelope, now time.Time) {
+	switch message := envelope.Message.(type) {
+	case zf.Heartbeat:
+		if !w.members.Hear(envelope.From, envelope.Incarnation, message, now) {
+			return
+		}
+		for _, a := range message.Servers {
+			w.announce(a, false, now)
+		}
+	case zf.Leave:
+		w.members.Depart(envelope.From, envelope.Incarnation)
+	default:
+		row := w.members.Find(envelope.From)
+		if row == nil || row.Incarnation != envelope.Incarnation {
+			return
+		}
+		w.mapper.Receive(envelope.From, envelope.Message, now)
+	}
+}
+
+// Ready reports whether the instance may get traffic.
+func (w *World) Ready() bool {
+	return !w.stopping && w.state.Bundle != nil && w.mapper.Synced()
+}
+
+// Stop begins a planned stop: the instance is no longer ready and hands over
+// what it owns.
+func (w *World) Stop(now time.Time) {
+	if !w.stopping {
+		w.stopping = true
+		w.stopped = now
+	}
+}
+
+// Stopped reports whether a planned stop has handed everything over.
+func (w *World) Stopped(now time.Time) bool {
+	if !w.stopping || now.Sub(w.stopped) < stopNotice {
+		return false
+	}
+	return !w.mapper.Busy() && w.requests.Running() == 0
+}
+
+// Farewell returns the messages that end a planned stop.
+func (w *World) Farewell() []zf.Envelope {
+	return w.stamp(w.members.Farewell())
+}
+
+// Tick runs every system once and returns the messages to send.
+func (w *World) Tick(now time.Time) []zf.Envelope {
+	w.servers.Tick(now)
+	w.refresh(now)
+	envelopes := w.mapper.Tick(now, w.view)
+	w.requests.Tick(now, w.servers, w.state.Out)
+	envelopes = append(envelopes, w.members.Tick(now, w.content)...)
+	return w.stamp(envelopes)
+}
+
+// Serve runs the system of requests alone, since they should not wait for the
+// next tick.
+func (w *World) Serve(now time.Time) {
+	w.requests.Tick(now, w.servers, w.state.Out)
+}
+
+// refresh rebuilds the view where something in it changed. Leases and the
+// digests of members change with time, so that members are always fresh.
+func (w *World) refresh(now time.Time) {
+	w.view.Self = w.self.Name
+	w.view.Members = w.members.View(now, w.Ready())
+	seen := revisions{
+		members: w.members.Revision(),
+		servers: w.servers.Revision(),
+		state:   w.state.Sequence,
+		ready:   w.Ready(),
+	}
+	if w.view.Servers == nil || seen.servers != w.seen.servers || seen.state != w.seen.state {
+		w.view.Servers = w.servers.View(w.state.Out)
+	}
+	w.view.Services = w.services
+	if seen != w.seen {
+		w.view.Revision++
+	}
+	w.seen = seen
+}
+
+func (w *World) content() zfmember.Content {
+	return zfmember.Content{
+		State:   w.state.Sequence,
+		Slots:   w.mapper.Digests(),
+		Servers: w.servers.TakeHeard(),
+		Ready:   w.Ready(),
+	}
+}
+
+func (w *World) stamp(envelopes []zf.Envelope) []zf.Envelope {
+	for i := range envelopes {
+		envelopes[i].From = w.self.Name
+		envelopes[i].Incarnation = w.self.Incarnation
+	}
+	return envelopes
+}
--- /dev/null
+++ b/core/zfmember/table.go
@@ -0,0 +1,261 @@
+// Package zfmember decides which instances are alive. Its table has one row
+// an instance; its system runs over the rows each tick, moves silent rows from
+// alive over suspect to dead, and makes the heartbeats that are due.
+package zfmember
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	zf "zinniafront"
+)
+
+// State is the state of an instance as this one sees it.
+type State uint8
+
+// The states of an instance.
+const (
+	// StateAlive has been heard within the fence time.
+	StateAlive State = iota
+	// StateSuspect has not been heard for the fence time; it still counts.
+	StateSuspect
+	// StateDead has not been heard for the dead time.
+	StateDead
+	// StateLeft said that it stops.
+	StateLeft
+)
+
+// String returns the state's name in reports.
+func (s State) String() string {
+	switch s {
+	case StateAlive:
+		return "alive"
+	case StateSuspect:
+		return "suspect"
+	case StateDead:
+		return "dead"
+	case StateLeft:
+		return "left"
+	default:
+		return "unknown"
+	}
+}
+
+// Config holds the constants of a table.
+type Config struct {
+	// Self is this instance.
+	Self zf.MemberView
+	// Seeds are addresses to introduce this instance to.
+	Seeds []netip.AddrPort
+	// Interval is the time between heartbeats in a small group.
+	Interval time.Duration
+	// FenceBeats and DeadBeats are the number of intervals of silence after
+	// which a member is suspect and dead. FenceBeats is the smaller one.
+	FenceBeats int
+	DeadBeats  int
+	// Budget is the number of bytes a second to spend on heartbeats; in large
+	// groups it lengthens the interval.
+	Budget int
+	// Forget is the time after which a dead row is removed.
+	Forget time.Duration
+}
+
+// DefaultConfig returns the constants for self and seeds.
+func DefaultConfig(self zf.MemberView, seeds []netip.AddrPort) Config {
+	return Config{
+		Self:       self,
+		Seeds:      seeds,
+		Interval:   400 * time.Millisecond,
+		FenceBeats: 6,
+		DeadBeats:  8,
+		Budget:     2500,
+		Forget:     10 * time.Minute,
+	}
+}
+
+const (
+	// heartbeatBytes is the size of a heartbeat without announcements.
+	heartbeatBytes = 110
+	// beatsKept is how many rounds back an echo is understood.
+	beatsKept = 64
+	// recentBeats is how many intervals a member counts as just heard.
+	recentBeats = 3
+	// introductions is the number of beats that carry the known addresses.
+	introductions = 3
+)
+
+// Row is one instance other than this one.
+type Row struct {
+	Name        zf.InstanceName
+	Centre      zf.CentreName
+	Control     netip.AddrPort
+	Relay       netip.AddrPort
+	Incarnation uint64
+	State       State
+	Ready       bool
+	// Heard is when the last heartbeat came in, Beat its number.
+	Heard time.Time
+	Beat  uint64
+	// Confirmed is when the heartbeat left that the row echoed last.
+	Confirmed time.Time
+	// InForce is the sequence of the control state that the row serves.
+	InForce uint64
+	Slots   []zf.SlotDigest
+
+	introduced int
+}
+
+// Table holds the instances that this one knows of, sorted by name.
+type Table struct {
+	config   Config
+	rows     []*Row
+	seeds    []netip.AddrPort
+	beat     uint64
+	sent     [beatsKept]time.Time
+	nextBeat time.Time
+	revision uint64
+}
+
+// Content is what the heartbeats of one round carry beside the membership.
+type Content struct {
+	State   uint64
+	Slots   []zf.SlotDigest
+	Servers []zf.Announcement
+	Ready   bool
+}
+
+// New returns a table without rows.
+func New(config Config) *Table {
+	return &Table{
+		config: config,
+		seeds:  slices.Clone(config.Seeds),
+	}
+}
+
+// Revision changes whenever the set of live members or their addresses do.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Rows returns the rows, sorted by name. They must not be changed.
+func (t *Table) Rows() []*Row { return t.rows }
+
+// Find returns the row of an instance or nil.
+func (t *Table) Find(name zf.InstanceName) *Row {
+	i, ok := t.search(name)
+	if !ok {
+		return nil
+	}
+	return t.rows[i]
+}
+
+func (t *Table) search(name zf.InstanceName) (int, bool) {
+	return slices.BinarySearchFunc(t.rows, name, func(r *Row, n zf.InstanceName) int {
+		switch {
+		case r.Name < n:
+			return -1
+		case r.Name > n:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// Hear takes a heartbeat. It reports whether the heartbeat was news; one of an
+// earlier incarnation or beat is not.
+func (t *Table) Hear(from zf.InstanceName, incarnation uint64, beat zf.Heartbeat, now time.Time) bool {
+	if from == t.config.Self.Name {
+		return false
+	}
+	row := t.Find(from)
+	if row != nil && (incarnation < row.Incarnation || incarnation == row.Incarnation && beat.Beat <= row.Beat) {
+		return false
+	}
+	if row != nil && row.State == StateLeft && incarnation == row.Incarnation {
+		return false
+	}
+	row = t.refresh(row, from, incarnation, beat)
+	row.Heard = now
+	row.Beat = beat.Beat
+	row.InForce = beat.State
+	row.Slots = beat.Slots
+	t.confirm(row, beat)
+	t.learnSeeds(beat.Members)
+	return true
+}
+
+// refresh makes or updates the row's identity and counts a revision if the
+// live set or an address changed.
+func (t *Table) refresh(row *Row, from zf.InstanceName, incarnation uint64, beat zf.Heartbeat) *Row {
+	if row == nil {
+		row = &Row{
+			Name:  from,
+			State: StateDead,
+		}
+		i, _ := t.search(from)
+		t.rows = slices.Insert(t.rows, i, row)
+	}
+	changed := row.State == StateDead || row.State == StateLeft || row.Incarnation != incarnation ||
+		row.Control != beat.Control || row.Relay != beat.Relay || row.Ready != beat.Ready
+	if row.Incarnation != incarnation {
+		row.introduced = 0
+		row.Confirmed = time.Time{}
+	}
+	row.Incarnation = incarnation
+	row.Centre = beat.Centre
+	row.Control = beat.Control
+	row.Relay = beat.Relay
+	row.Ready = beat.Ready
+	row.State = StateAlive
+	if changed {
+		t.revision++
+	}
+	return row
+}
+
+// confirm records when the echoed heartbeat left; the age of that moment
+// bounds how long ago the member heard this instance.
+func (t *Table) confirm(row *Row, beat zf.Heartbeat) {
+	if beat.EchoOf != t.config.Self.Incarnation || beat.Echo == 0 || beat.Echo > t.beat || beat.Echo+beatsKept <= t.beat {
+		return
+	}
+	at := t.sent[beat.Echo%beatsKept]
+	if at.After(row.Confirmed) {
+		row.Confirmed = at
+	}
+}
+
+func (t *Table) learnSeeds(addresses []netip.AddrPort) {
+	for _, address := range addresses {
+		if address != t.config.Self.Control && !slices.Contains(t.seeds, address) {
+			t.seeds = append(t.seeds, address)
+		}
+	}
+}
+
+// Depart takes the word of an instance that it stops.
+func (t *Table) Depart(from zf.InstanceName, incarnation uint64) {
+	row := t.Find(from)
+	if row == nil || row.Incarnation != incarnation || row.State == StateLeft {
+		return
+	}
+	row.State = StateLeft
+	t.revision++
+}
+
+// Interval returns the time between heartbeats at the present size.
+func (t *Table) Interval() time.Duration {
+	scaled := time.Duration(len(t.rows)*heartbeatBytes) * time.Second / time.Duration(t.config.Budget)
+	return max(t.config.Interval, scaled)
+}
+
+// Fence returns the silence after which a member is suspect, and after which
+// this instance takes itself for unheard.
+func (t *Table) Fence() time.Duration {
+	return t.Interval() * time.Duration(t.config.FenceBeats)
+}
+
+// Dead returns the silence after which a member is dead.
+func (t *Table) Dead() time.Duration {
+	return t.Interval() * time.Duration(t.config.DeadBeats)
+}
--- /dev/null
+++ b/core/zfserver/table.go
@@ -0,0 +1,242 @@
+// Package zfserver decides what each backend server may get. Its table has one
+// row a backend server that ever announced itself; its system runs over the
+// rows each tick, expires the silent ones and ramps the cold ones.
+package zfserver
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	zf "zinniafront"
+)
+
+// Config holds the constants of a table.
+type Config struct {
+	// Expiry is the silence after which a backend server gets no new work.
+	Expiry time.Duration
+	// Gone is the silence after which its flows are given up.
+	Gone time.Duration
+	// Ramp is the shortest time from cold to full weight.
+	Ramp time.Duration
+	// Floor is the share of its weight that a cold backend server starts with.
+	Floor float64
+	// Most is the number of rows that the table takes.
+	Most int
+}
+
+// DefaultConfig returns the constants used where a bundle says nothing.
+func DefaultConfig() Config {
+	return Config{
+		Expiry: 2500 * time.Millisecond,
+		Gone:   2 * time.Minute,
+		Ramp:   10 * time.Second,
+		Floor:  0.05,
+		Most:   20000,
+	}
+}
+
+// rampSteps is the number of steps from Floor to full weight; few steps make
+// few changes of the slot tables.
+const rampSteps = 8
+
+// Row is one backend server.
+type Row struct {
+	ID zf.ServerID
+	zf.Announcement
+	// Heard is when the last announcement came in.
+	Heard time.Time
+	// Status is the state as the system sees it, State the announced one.
+	Status zf.ServerState
+	// Ramp is the share of full weight that the row has reached, from 0 to 1.
+	Ramp float64
+	// Stepped is when Ramp last grew.
+	Stepped time.Time
+	// Failures counts answers in a row that were errors or did not come.
+	Failures int
+	// Done counts completions since the last step of the ramp.
+	Done int
+}
+
+// Table holds the backend servers; a row's index is its ServerID.
+type Table struct {
+	config   Config
+	rows     []*Row
+	names    map[zf.ServerName]zf.ServerID
+	revision uint64
+	// heard lists the rows with an announcement heard directly and not yet
+	// told to the other instances.
+	heard []zf.ServerID
+}
+
+// New returns a table without rows.
+func New(config Config) *Table {
+	return &Table{
+		config: config,
+		names:  make(map[zf.ServerName]zf.ServerID),
+	}
+}
+
+// Configure replaces the constants, as a new bundle does.
+func (t *Table) Configure(config Config) { t.config = config }
+
+// Revision changes whenever a state, a weight or an address does.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Rows returns all rows by ServerID. They must not be changed.
+func (t *Table) Rows() []*Row { return t.rows }
+
+// Find returns the row of a name, or nil.
+func (t *Table) Find(name zf.ServerName) *Row {
+	id, ok := t.names[name]
+	if !ok {
+		return nil
+	}
+	return t.rows[id]
+}
+
+// Announce takes an announcement. direct tells that the backend server sent it
+// to this instance, so that the others have to be told. The reason is
+// ReasonNone if the announcement was taken.
+func (t *Table) Announce(a zf.Announcement, direct bool, now time.Time) zf.Reason {
+	row := t.Find(a.Server)
+	if row != nil && a.Sequence <= row.Sequence {
+		return zf.ReasonStale
+	}
+	if row == nil && len(t.rows) >= t.config.Most {
+		return zf.ReasonFull
+	}
+	if row == nil {
+		row = t.insert(a, now)
+	}
+	t.update(row, a, now)
+	if direct && !slices.Contains(t.heard, row.ID) {
+		t.heard = append(t.heard, row.ID)
+	}
+	return zf.ReasonNone
+}
+
+func (t *Table) insert(a zf.Announcement, now time.Time) *Row {
+	row := &Row{
+		ID:           zf.ServerID(len(t.rows)),
+		Announcement: a,
+		Status:       zf.ServerGone,
+		Stepped:      now,
+	}
+	t.rows = append(t.rows, row)
+	t.names[a.Server] = row.ID
+	return row
+}
+
+func (t *Table) update(row *Row, a zf.Announcement, now time.Time) {
+	moved := row.Address != a.Address || row.Web != a.Web || row.Service != a.Service ||
+		row.Centre != a.Centre || row.Capacity != a.Capacity
+	turnedCold := a.State == zf.ServerCold && row.State != zf.ServerCold
+	row.Announcement = a
+	row.Heard = now
+	status := a.State
+	if turnedCold || row.Status == zf.ServerGone {
+		t.restartRamp(row, a.State, now)
+	}
+	if moved || row.Status != status {
+		t.revision++
+	}
+	row.Status = status
+}
+
+// restartRamp puts the row at the foot of its ramp, unless it says that it is
+// warm when it is first heard of: then it was there before this instance.
+func (t *Table) restartRamp(row *Row, state zf.ServerState, now time.Time) {
+	row.Ramp = t.config.Floor
+	if state == zf.ServerWarm {
+		row.Ramp = 1
+	}
+	row.Stepped = now
+	row.Done = 0
+	t.revision++
+}
+
+// Tick expires silent rows and moves ramps on.
+func (t *Table) Tick(now time.Time) {
+	for _, row := range t.rows {
+		t.expire(row, now)
+		t.ramp(row, now)
+	}
+}
+
+func (t *Table) expire(row *Row, now time.Time) {
+	silent := now.Sub(row.Heard)
+	status := row.Status
+	switch {
+	case silent >= t.config.Gone:
+		status = zf.ServerGone
+	case silent >= t.config.Expiry:
+		status = zf.ServerSilent
+	}
+	if status != row.Status {
+		row.Status = status
+		t.revision++
+	}
+}
+
+// ramp raises the weight of a row by one step when the step's time has passed.
+// A row that still says it is cold stops at half of its weight.
+func (t *Table) ramp(row *Row, now time.Time) {
+	if row.Ramp >= 1 || row.Status != zf.ServerCold && row.Status != zf.ServerWarm {
+		return
+	}
+	if now.Sub(row.Stepped) < t.config.Ramp/rampSteps {
+		return
+	}
+	top := 1.0
+	if row.Status == zf.ServerCold {
+		top = 0.5
+	}
+	step := (1 - t.config.Floor) / rampSteps
+	next := min(row.Ramp+step, top)
+	row.Stepped = now
+	if next > row.Ramp {
+		row.Ramp = next
+		t.revision++
+	}
+}
+
+// TakeHeard returns the announcements heard directly since the last call.
+func (t *Table) TakeHeard() []zf.Announcement {
+	announcements := make([]zf.Announcement, 0, len(t.heard))
+	for _, id := range t.heard {
+		announcements = append(announcements, t.rows[id].Announcement)
+	}
+	t.heard = t.heard[:0]
+	return announcements
+}
+
+// Weight returns the share of new flows that a row may get relative to the
+// others of its service.
+func (r *Row) Weight() float64 {
+	if r.Status != zf.ServerCold && r.Status != zf.ServerWarm {
+		return 0
+	}
+	return r.Ramp * float64(r.Capacity.Connections)
+}
+
+// View returns all rows, sorted by name. out holds the data centres taken out.
+func (t *Table) View(out []zf.CentreName) []zf.ServerView {
+	view := make([]zf.ServerView, 0, len(t.rows))
+	for _, row := range t.rows {
+		view = append(view, zf.ServerView{
+			ID:      row.ID,
+			Name:    row.Server,
+			Service: row.Service,
+			Centre:  row.Centre,
+			Address: row.Address,
+			State:   row.Status,
+			Weight:  row.Weight(),
+			Allowed: !slices.Contains(out, row.Centre),
+		})
+	}
+	slices.SortFunc(view, func(a, b zf.ServerView) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	return view
+}
--- /dev/null
+++ b/core/zfslot/assign.go
@@ -0,0 +1,141 @@
+package zfslot
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	zf "zinniafront"
+)
+
+// mostSlots bounds the slots that one round moves, and so its messages.
+const mostSlots = 4096
+
+// share is one backend server's part of a table while slots are assigned.
+type share struct {
+	index  uint32
+	name   zf.ServerName
+	target int
+	count  int
+}
+
+func (s *share) lacks() int { return s.target - s.count }
+
+// shares returns the backend servers of a service that take new flows with
+// their targets by weight, sorted by name. The targets sum to the slots.
+func (m *Mapper) shares(t *table) []*share {
+	list := make([]*share, 0, 16)
+	weights := make([]float64, 0, 16)
+	total := 0.0
+	for _, server := range m.view.Servers {
+		if server.Service != t.view.Name || server.Weight <= 0 || !server.Allowed {
+			continue
+		}
+		list = append(list, &share{
+			index: m.names.intern(server.Name),
+			name:  server.Name,
+		})
+		weights = append(weights, server.Weight)
+		total += server.Weight
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	rest := len(t.rows)
+	for i, s := range list {
+		s.target = int(math.Floor(float64(len(t.rows)) * weights[i] / total))
+		rest -= s.target
+	}
+	for i := 0; rest > 0; i = (i + 1) % len(list) {
+		list[i].target++
+		rest--
+	}
+	return list
+}
+
+// assign decides which slots move to which backend server and writes their
+// Next. It returns the slots written. Slots of a backend server that takes no
+// new flows always move; slots move for balance once the targets are missed by
+// more than the tolerance, unsettled ones first.
+func (m *Mapper) assign(t *table, now time.Time) []int {
+	list := m.shares(t)
+	if len(list) == 0 {
+		return nil
+	}
+	byIndex := make(map[uint32]*share, len(list))
+	for _, s := range list {
+		byIndex[s.index] = s
+	}
+	moving, unfinished := t.homeless(byIndex)
+	moving = append(moving, m.surplus(t, list, byIndex)...)
+	if len(moving) > mostSlots {
+		moving = moving[:mostSlots]
+	}
+	version := t.clock + 1
+	for _, slot := range moving {
+		row := t.rows[slot]
+		receiver := receiverOf(row, list, byIndex)
+		receiver.count++
+		row.next = receiver.index
+		m.write(t, slot, row, version, now)
+	}
+	for _, slot := range unfinished {
+		m.write(t, slot, t.rows[slot], version, now)
+	}
+	return append(moving, unfinished...)
+}
+
+// homeless counts the slots of each share. It returns the slots whose Next
+// takes no new flows, and those that an earlier coordinator left unfinished.
+func (t *table) homeless(byIndex map[uint32]*share) (homeless, unfinished []int) {
+	for slot, row := range t.rows {
+		s, ok := byIndex[row.next]
+		if !ok {
+			homeless = append(homeless, slot)
+			continue
+		}
+		s.count++
+		if row.next != row.active {
+			unfinished = append(unfinished, slot)
+		}
+	}
+	return homeless, unfinished
+}
+
+// surplus takes slots from shares above their target, if any share misses its
+// target by more than the tolerance.
+func (m *Mapper) surplus(t *table, list []*share, byIndex map[uint32]*share) []int {
+	if !slices.ContainsFunc(list, func(s *share) bool {
+		slack := max(1, int(m.config.Tolerance*float64(s.target)))
+		return s.lacks() > slack || s.lacks() < -slack
+	}) {
+		return nil
+	}
+	slots := make([]int, 0, 64)
+	for _, settled := range [...]bool{false, true} {
+		for slot, row := range t.rows {
+			s, ok := byIndex[row.next]
+			if !ok || row.next != row.active || row.settled() != settled || s.lacks() >= 0 {
+				continue
+			}
+			s.count--
+			slots = append(slots, slot)
+		}
+	}
+	return slots
+}
+
+// receiverOf returns the share that a moving slot goes to: back to its base if
+// that lacks slots, else to the share that lacks most.
+func receiverOf(row slotRow, list []*share, byIndex map[uint32]*share) *share {
+	if s, ok := byIndex[row.base]; ok && s.lacks() > 0 {
+		return s
+	}
+	return slices.MaxFunc(list, func(a, b *share) int {
+		if a.lacks() != b.lacks() {
+			return a.lacks() - b.lacks()
+		}
+		return strings.Compare(string(b.name), string(a.name))
+	})
+}
--- /dev/null
+++ b/core/zfslot/hint.go
@@ -0,0 +1,102 @@
+package zfslot
+
+import (
+	"net/netip"
+	"time"
+
+	zf "zinniafront"
+)
+
+// hint is the word of a flow's owner where the flow is, for the instance that
+// relayed a packet.
+type hint struct {
+	hash    uint64
+	server  uint32
+	service uint16
+	relay   netip.AddrPort
+}
+
+// hintsKept bounds the hints that wait for the control goroutine.
+const hintsKept = 8192
+
+// hints is a bounded queue from the traffic goroutines.
+type hints struct {
+	queue chan hint
+}
+
+func newHints() *hints {
+	return &hints{
+		queue: make(chan hint, hintsKept),
+	}
+}
+
+// push adds a hint unless the queue is full; the flow's next relayed packet
+// makes another one.
+func (h *hints) push(next hint) {
+	select {
+	case h.queue <- next:
+	default:
+	}
+}
+
+// sendHints sends the waiting hints, as far as the byte budget goes.
+func (m *Mapper) sendHints(now time.Time) {
+	rows := make(map[zf.InstanceName][]zf.FlowRow)
+	for range len(m.hints.queue) {
+		next := <-m.hints.queue
+		name := m.receiverOfHint(next)
+		if name == "" || name == m.view.Self {
+			continue
+		}
+		if !m.limiter.AllowN(now, flowRowBytes) {
+			m.stats.HintsDeferred++
+			continue
+		}
+		rows[name] = append(rows[name], zf.FlowRow{
+			Hash:    next.hash,
+			Server:  m.names.name(next.server),
+			Service: m.tables[next.service].view.Name,
+		})
+	}
+	for _, member := range m.view.Members {
+		list := rows[member.Name]
+		m.stats.HintsSent += len(list)
+		for len(list) > 0 {
+			n := min(batchRows, len(list))
+			m.send(member.Name, zf.FlowRows{
+				Rows: list[:n],
+			})
+			list = list[n:]
+		}
+	}
+	m.sendRebinds()
+}
+
+// receiverOfHint returns the instance that relayed the packet, or the flow's
+// backup if the packet came in directly.
+func (m *Mapper) receiverOfHint(next hint) zf.InstanceName {
+	if !next.relay.IsValid() {
+		return m.backups[bucketOf(next.hash)]
+	}
+	for i := range m.view.Members {
+		if m.view.Members[i].Relay == next.relay {
+			return m.view.Members[i].Name
+		}
+	}
+	return ""
+}
+
+// backupsOf returns for each bucket the ready member that would own it if its
+// owner were not there.
+func backupsOf(members []zf.MemberView, owners *buckets) *buckets {
+	var backups buckets
+	for b := range backups {
+		i := highest(members, uint64(b), func(member zf.MemberView) bool {
+			return member.Ready && member.Name != owners[b]
+		})
+		if i >= 0 {
+			backups[b] = members[i].Name
+		}
+	}
+	return &backups
+}
--- /dev/null
+++ b/core/zfslot/mapper.go
@@ -0,0 +1,315 @@
+package zfslot
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	zf "zinniafront"
+	"zinniafront/core/zfflow"
+)
+
+// Config holds the constants of a mapper.
+type Config struct {
+	// Seed is the secret that flows are hashed with, equal at all instances.
+	Seed uint64
+	// Start is when the instance started.
+	Start time.Time
+	// Boot is how long a lone instance listens before it writes slot tables.
+	Boot time.Duration
+	// Refresh is how long an instance trusts what a flow's owner told it.
+	Refresh time.Duration
+	// Resend is the time between repetitions of a message that was not
+	// acknowledged.
+	Resend time.Duration
+	// Grace is how long a leaving backend server still gets new flows, while
+	// its slots move.
+	Grace time.Duration
+	// Handover bounds how long a new owner waits for the rows of its flows.
+	Handover time.Duration
+	// Budget is the number of bytes a second for rows of flows, Burst the
+	// number that may be spent at once.
+	Budget int
+	Burst  int
+	// Tolerance is the share by which a backend server's slots may miss its
+	// target before slots move for balance alone.
+	Tolerance float64
+	// Flows is the number of flows that the table takes.
+	Flows int
+	// Eager lets the coordinator set Active without waiting for
+	// acknowledgements. It is unsafe, and serves to show that.
+	Eager bool
+}
+
+// DefaultConfig returns the constants for production.
+func DefaultConfig(seed uint64, start time.Time) Config {
+	return Config{
+		Seed:      seed,
+		Start:     start,
+		Boot:      1500 * time.Millisecond,
+		Refresh:   2 * time.Minute,
+		Resend:    300 * time.Millisecond,
+		Grace:     1500 * time.Millisecond,
+		Handover:  5 * time.Second,
+		Budget:    1500,
+		Burst:     96 << 10,
+		Tolerance: 0.02,
+		Flows:     2 << 20,
+	}
+}
+
+// Mapper implements zinniafront.Mapper. Its tables belong to the control
+// goroutine; traffic goroutines read the published snapshot and share the
+// flow table's shards.
+type Mapper struct {
+	config  Config
+	view    zf.View
+	names   *names
+	tables  []*table
+	byName  map[zf.ServiceName]*table
+	flows   *zfflow.Table
+	current atomic.Pointer[snapshot]
+
+	// digest identifies the ready members, stable is since when.
+	digest   uint64
+	stable   time.Time
+	owners   *buckets
+	backups  *buckets
+	handover *handover
+	hints    *hints
+	rebinds  *rebinds
+	limiter  *rate.Limiter
+	leaving  map[uint32]time.Time
+	// incarnations holds those of the members at the last change of owners.
+	incarnations map[zf.InstanceName]uint64
+	lastTick     time.Time
+	outbox       []zf.Envelope
+	stats        zf.MapperStats
+}
+
+// New returns a mapper without tables.
+func New(config Config) *Mapper {
+	return &Mapper{
+		config: config,
+		names:  newNames(),
+		byName: make(map[zf.ServiceName]*table),
+		flows: zfflow.New(zfflow.Config{
+			Start: config.Start,
+			Most:  config.Flows,
+		}),
+		owners:   &buckets{},
+		backups:  &buckets{},
+		handover: newHandover(),
+		hints:    newHints(),
+		rebinds:  newRebinds(),
+		limiter:  rate.NewLimiter(rate.Limit(config.Budget), config.Burst),
+		leaving:  make(map[uint32]time.Time),
+	}
+}
+
+// Tick implements zinniafront.Mapper. The systems run in a fixed order.
+func (m *Mapper) Tick(now time.Time, view zf.View) []zf.Envelope {
+	m.lastTick = now
+	m.adopt(view, now)
+	for _, t := range m.tables {
+		if !t.live {
+			continue
+		}
+		m.sync(t, now)
+		m.coordinate(t, now)
+	}
+	m.runHandover(now)
+	m.sendHints(now)
+	m.rebinds.sweep(now)
+	m.sweepFlows(now)
+	m.publish(now)
+	out := m.outbox
+	m.outbox = nil
+	return out
+}
+
+// adopt takes the tick's view and follows changes of services, backend
+// servers and members.
+func (m *Mapper) adopt(view zf.View, now time.Time) {
+	first := m.view.Members == nil
+	m.view = view
+	m.adoptServices()
+	m.adoptServers(now)
+	if digest := membershipDigest(view.Members); first || digest != m.digest {
+		m.digest = digest
+		m.stable = now
+		m.adoptOwners(now)
+	}
+}
+
+func (m *Mapper) adoptServices() {
+	for _, t := range m.tables {
+		t.live = false
+	}
+	for _, service := range m.view.Services {
+		t, ok := m.byName[service.Name]
+		if !ok || len(t.rows) != service.Slots {
+			t = newTable(uint16(len(m.tables)), service)
+			m.tables = append(m.tables, t)
+			m.byName[service.Name] = t
+		}
+		t.view = service
+		t.live = true
+	}
+}
+
+// adoptServers notes since when a backend server takes no new flows.
+func (m *Mapper) adoptServers(now time.Time) {
+	for _, server := range m.view.Servers {
+		index := m.names.intern(server.Name)
+		if server.Weight > 0 && server.Allowed {
+			delete(m.leaving, index)
+		} else if _, ok := m.leaving[index]; !ok {
+			m.leaving[index] = now
+		}
+	}
+}
+
+// inGrace reports whether a leaving backend server still takes new flows.
+func (m *Mapper) inGrace(index uint32, now time.Time) bool {
+	since, ok := m.leaving[index]
+	return ok && now.Sub(since) < m.config.Grace
+}
+
+// Receive implements zinniafront.Mapper.
+func (m *Mapper) Receive(from zf.InstanceName, message zf.Message, now time.Time) {
+	switch message := message.(type) {
+	case zf.SlotRows:
+		m.receiveRows(from, message, now)
+	case zf.SlotAck:
+		m.receiveAck(from, message, now)
+	case zf.SlotAsk:
+		m.receiveAsk(from, message)
+	case zf.SlotPull:
+		m.receivePull(from, message)
+	case zf.FlowRows:
+		m.receiveFlows(from, message, now)
+	case zf.FlowAck:
+		m.handover.acknowledge(from, message.Batch)
+	}
+}
+
+func (m *Mapper) receiveRows(from zf.InstanceName, message zf.SlotRows, now time.Time) {
+	t, ok := m.byName[message.Service]
+	if !ok {
+		return
+	}
+	for _, row := range message.Rows {
+		if t.merge(int(row.Slot), m.names.accept(row), now) {
+			m.handover.rescan = true
+		}
+	}
+	if message.Round != 0 {
+		m.send(from, zf.SlotAck{
+			Service: message.Service,
+			Round:   message.Round,
+		})
+	}
+}
+
+func (m *Mapper) receivePull(from zf.InstanceName, message zf.SlotPull) {
+	t, ok := m.byName[message.Service]
+	if !ok {
+		return
+	}
+	for _, rows := range m.names.rowsOf(t, everySlot(t), 0) {
+		m.send(from, rows)
+	}
+}
+
+func everySlot(t *table) []int {
+	slots := make([]int, len(t.rows))
+	for i := range slots {
+		slots[i] = i
+	}
+	return slots
+}
+
+// send queues a message to a member; one that is not in the view is skipped.
+func (m *Mapper) send(to zf.InstanceName, message zf.Message) {
+	for i := range m.view.Members {
+		member := &m.view.Members[i]
+		if member.Name == to && to != m.view.Self {
+			m.outbox = append(m.outbox, zf.Envelope{
+				To:      to,
+				Address: member.Control,
+				Message: message,
+			})
+			return
+		}
+	}
+}
+
+// sweepFlows forgets idle flows, those of backend servers that are gone, and
+// copies of rows that the owner would give again.
+func (m *Mapper) sweepFlows(now time.Time) {
+	gone := make(map[uint32]bool)
+	for _, server := range m.view.Servers {
+		if server.State == zf.ServerGone {
+			gone[m.names.index[server.Name]] = true
+		}
+	}
+	m.flows.Sweep(now, func(hash uint64, row zfflow.Row) time.Duration {
+		t := m.tables[row.Service]
+		switch {
+		case !t.live || gone[uint32(row.Server)]:
+			return 0
+		case row.Flags&zfflow.FlagOwned != 0 || uint32(row.Server) != t.rows[t.slotOf(hash)].base:
+			return t.view.Idle
+		default:
+			return m.config.Refresh
+		}
+	})
+}
+
+// Stats implements zinniafront.Mapper.
+func (m *Mapper) Stats() zf.MapperStats {
+	stats := m.stats
+	stats.Flows = m.flows.Len()
+	stats.FlowBytes = m.flows.Bytes()
+	for _, t := range m.tables {
+		for _, row := range t.rows {
+			if t.live && !row.settled() {
+				stats.UnsettledSlots++
+			}
+		}
+		stats.PendingSlots += len(t.round.slots)
+	}
+	return stats
+}
+
+// Digests implements zinniafront.Mapper.
+func (m *Mapper) Digests() []zf.SlotDigest {
+	digests := make([]zf.SlotDigest, 0, len(m.tables))
+	for _, t := range m.tables {
+		if t.live {
+			digests = append(digests, zf.SlotDigest{
+				Service: t.view.Name,
+				Digest:  t.digest,
+			})
+		}
+	}
+	return digests
+}
+
+// Synced implements zinniafront.Mapper.
+func (m *Mapper) Synced() bool {
+	if m.view.Members == nil {
+		return false
+	}
+	for _, t := range m.tables {
+		if t.live && !t.synced {
+			return false
+		}
+	}
+	return true
+}
+
+// Busy implements zinniafront.Mapper.
+func (m *Mapper) Busy() bool { return len(m.handover.batches) > 0 }
--- /dev/null
+++ b/core/zfslot/route.go
@@ -0,0 +1,233 @@
+package zfslot
+
+import (
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfflow"
+)
+
+// Route implements zinniafront.Mapper.
+func (m *Mapper) Route(packet zf.Packet, now time.Time) zf.Verdict {
+	s := m.current.Load()
+	if s == nil {
+		return drop(zf.ReasonNotReady)
+	}
+	service, ok := s.services[serviceKey{
+		address:  packet.Flow.Destination,
+		protocol: packet.Flow.Protocol,
+	}]
+	if !ok {
+		return drop(zf.ReasonUnknownService)
+	}
+	l := lookup{
+		snapshot: s,
+		service:  service,
+		hash:     zfflow.Hash(m.config.Seed, packet.Flow),
+		packet:   packet,
+		now:      now,
+	}
+	l.slot = service.slots[int(l.hash)&(len(service.slots)-1)]
+	l.row, l.known = m.flows.Touch(l.hash, packet.Kind, now)
+	l.known = l.known && l.credible()
+	fresh := l.known && m.flows.Age(l.row, now) < s.refresh
+	switch {
+	case fresh && packet.Kind == zf.PacketMiddle && !l.ownedHere():
+		return l.forward(uint32(l.row.Server))
+	case !service.usable && !l.known:
+		return drop(zf.ReasonIsolated)
+	case l.ownedHere():
+		return m.routeOwned(&l)
+	default:
+		return m.routeByOwner(&l)
+	}
+}
+
+// lookup is all that the decision on one packet reads.
+type lookup struct {
+	snapshot *snapshot
+	service  *serviceSnapshot
+	slot     slotSnapshot
+	hash     uint64
+	row      zfflow.Row
+	known    bool
+	packet   zf.Packet
+	now      time.Time
+}
+
+func (l *lookup) owner() int16 { return l.snapshot.owners[bucketOf(l.hash)] }
+
+func (l *lookup) ownedHere() bool { return l.owner() == l.snapshot.self }
+
+func (l *lookup) pending() bool { return l.snapshot.pending[bucketOf(l.hash)] }
+
+// credible reports whether the flow's row may route packets. A predicted one
+// may at the owner, once no better row can come in any more.
+func (l *lookup) credible() bool {
+	return l.row.Flags&zfflow.FlagTentative == 0 || l.ownedHere() && !l.pending()
+}
+
+func (l *lookup) relayed() bool { return l.packet.Relay.IsValid() }
+
+func drop(reason zf.Reason) zf.Verdict {
+	return zf.Verdict{
+		Action: zf.ActionDrop,
+		Server: zf.NoServer,
+		Reason: reason,
+	}
+}
+
+// relay hands a packet to the flow's owner. A packet of a settled slot needs no
+// owner to be placed, and passes by one that has not been heard lately.
+func (l *lookup) relay(reason zf.Reason) zf.Verdict {
+	owner := l.owner()
+	reachable := owner >= 0 && !l.relayed()
+	switch {
+	case l.slot.settled && l.packet.Kind == zf.PacketOpening && (!reachable || !l.snapshot.members[owner].recent):
+		return l.open(l.slot.active)
+	case l.slot.settled && (!reachable || !l.snapshot.members[owner].recent):
+		return l.forward(l.slot.active)
+	case !reachable:
+		return drop(zf.ReasonNoOwner)
+	}
+	return zf.Verdict{
+		Action: zf.ActionRelay,
+		To:     l.snapshot.members[owner].relay,
+		Server: zf.NoServer,
+		Reason: reason,
+	}
+}
+
+// forward sends a packet to a backend server that may have flows.
+func (l *lookup) forward(index uint32) zf.Verdict {
+	if index == noServer {
+		return drop(zf.ReasonNoServer)
+	}
+	server := l.snapshot.server(index)
+	switch {
+	case !server.alive:
+		return drop(zf.ReasonServerGone)
+	case !server.allowed:
+		return drop(zf.ReasonCentreOut)
+	}
+	return zf.Verdict{
+		Action: zf.ActionForward,
+		To:     server.address,
+		Server: server.id,
+	}
+}
+
+// open sends the first packet of a flow to a backend server that takes new
+// flows.
+func (l *lookup) open(index uint32) zf.Verdict {
+	verdict := l.forward(index)
+	if verdict.Action == zf.ActionForward && !l.snapshot.server(index).accepting {
+		return drop(zf.ReasonLeaving)
+	}
+	return verdict
+}
+
+// routeByOwner relays a packet to the flow's owner: the packets that open and
+// end a flow, and of the others the first one that comes in here and then one
+// every refresh time. In between this instance knows where the flow is, of a
+// settled slot from the slot and of another from what the owner told.
+func (m *Mapper) routeByOwner(l *lookup) zf.Verdict {
+	switch {
+	case l.packet.Kind == zf.PacketOpening:
+		verdict := l.relay(zf.ReasonOpening)
+		if verdict.Action == zf.ActionRelay && !l.known && l.slot.active != noServer {
+			m.learn(l, l.slot.active, zfflow.FlagTentative)
+		}
+		return verdict
+	case l.packet.Kind != zf.PacketMiddle:
+		return l.relay(zf.ReasonEnding)
+	case !l.slot.settled && l.known:
+		return l.relay(zf.ReasonRefresh)
+	case !l.slot.settled:
+		return l.relay(zf.ReasonMovedSlot)
+	}
+	verdict := l.relay(zf.ReasonRefresh)
+	if verdict.Action != zf.ActionDrop && l.slot.active != noServer {
+		m.learn(l, l.slot.active, 0)
+	}
+	return verdict
+}
+
+// routeOwned decides a packet of a flow that this instance owns. An unknown
+// flow of an unsettled slot is with the base.
+func (m *Mapper) routeOwned(l *lookup) zf.Verdict {
+	if l.packet.Kind == zf.PacketOpening {
+		return m.openOwned(l)
+	}
+	if !l.known && !l.slot.settled && l.pending() {
+		return drop(zf.ReasonOwnerPending)
+	}
+	server := l.slot.base
+	switch {
+	case l.known:
+		server = uint32(l.row.Server)
+	case !l.snapshot.server(server).alive:
+		server = l.slot.active
+	}
+	verdict := l.forward(server)
+	if verdict.Action != zf.ActionForward {
+		return verdict
+	}
+	if !l.known {
+		m.learn(l, server, zfflow.FlagOwned)
+	}
+	m.tell(l, server)
+	return verdict
+}
+
+// openOwned places a new flow. A repeated opening goes where the first one
+// went; a new flow with the five-tuple of an earlier one does so while that
+// backend server takes new flows.
+func (m *Mapper) openOwned(l *lookup) zf.Verdict {
+	if !l.known && !l.slot.settled && l.pending() {
+		return drop(zf.ReasonOwnerPending)
+	}
+	server := l.slot.active
+	if l.known {
+		earlier := l.snapshot.server(uint32(l.row.Server))
+		switch {
+		case earlier.accepting:
+			server = uint32(l.row.Server)
+		case earlier.alive && !m.rebinds.ready(l, server):
+			return drop(zf.ReasonRebind)
+		}
+	}
+	verdict := l.open(server)
+	if verdict.Action != zf.ActionForward {
+		return verdict
+	}
+	if !m.learn(l, server, zfflow.FlagOwned) {
+		return drop(zf.ReasonFull)
+	}
+	m.tell(l, server)
+	return verdict
+}
+
+// learn keeps a flow's backend server; it reports false if there is no room.
+func (m *Mapper) learn(l *lookup, server uint32, flags zfflow.Flags) bool {
+	return m.flows.Learn(l.hash, zfflow.Row{
+		Server:  zf.ServerID(server),
+		Service: l.service.index,
+		Flags:   flags,
+	}, l.now)
+}
+
+// tell lets the relaying instance know where a flow of an unsettled slot is. Of a flow that came in
+// here directly, another instance is told at first and then now and then, so
+// that two know it.
+func (m *Mapper) tell(l *lookup, server uint32) {
+	if l.slot.settled || l.known && !l.relayed() && !m.flows.Confirm(l.hash, l.snapshot.refresh, l.now) {
+		return
+	}
+	m.hints.push(hint{
+		hash:    l.hash,
+		server:  server,
+		service: l.service.index,
+		relay:   l.packet.Relay,
+	})
+}
--- /dev/null
+++ b/io/command/zfcmd/wait.go
@@ -0,0 +1,53 @@
+package zfcmd
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"zinniafront/io/zfoperator"
+)
+
+// WaitFlags tell a command how long to wait.
+type WaitFlags struct {
+	Timeout time.Duration `name:"timeout" default:"5s" help:"How long to wait for the answer."`
+	Wait    time.Duration `name:"wait" default:"0s" help:"How long to wait until every instance has it in force; 0s does not wait."`
+}
+
+const (
+	// waitEvery is the time between two looks at the instances.
+	waitEvery = 100 * time.Millisecond
+	// silentMost is the silence after which an instance is not waited for.
+	silentMost = 5 * time.Second
+)
+
+// InForce returns a function that waits until every instance that reports to
+// the control instances has a sequence in force.
+func (f *Factory) InForce(client *zfoperator.Client) func(ctx context.Context, sequence uint64) error {
+	return func(ctx context.Context, sequence uint64) error {
+		for {
+			status, err := client.Status(ctx)
+			if err == nil && behind(status, sequence) == 0 {
+				return nil
+			}
+			wake, release := f.Clock.After(waitEvery)
+			select {
+			case <-wake:
+			case <-ctx.Done():
+				release()
+				return errors.Wrapf(ErrTimeout, "sequence %d is not in force at %d instance(s)", sequence, behind(status, sequence))
+			}
+		}
+	}
+}
+
+func behind(status zfoperator.Status, sequence uint64) int {
+	n := 0
+	for _, instance := range status.Instances {
+		if instance.Silent < silentMost && instance.Sequence < sequence {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/io/command/zfservecmd/control.go
@@ -0,0 +1,76 @@
+package zfservecmd
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"zinniafront/io/command/zfcmd"
+	"zinniafront/io/zfadmin"
+	"zinniafront/io/zfcounter"
+	"zinniafront/io/zfdocument"
+	"zinniafront/io/zfevent"
+	"zinniafront/io/zfkey"
+	"zinniafront/io/zfoperator"
+	"zinniafront/io/zfstore"
+)
+
+// stateFile is the document of the control state in the data folder.
+const stateFile = "control.json"
+
+func controlModule() fx.Option {
+	return fx.Module("control",
+		fx.Provide(openFolder, newControl),
+		fx.Invoke(func(*zfoperator.Server) {}),
+	)
+}
+
+func openFolder(lifecycle fx.Lifecycle, settings *zfdocument.Settings) (*zfstore.Folder, error) {
+	folder, err := zfstore.Open(settings.Data)
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.StopHook(folder.Close))
+	return folder, nil
+}
+
+func newControl(lifecycle fx.Lifecycle, settings *zfdocument.Settings, folder *zfstore.Folder, f *zfcmd.Factory, logger *zfevent.Logger) (*zfoperator.Server, error) {
+	trusted, err := zfkey.ReadTrusted(settings.Keys.Trusted)
+	if err != nil {
+		return nil, err
+	}
+	server, err := zfoperator.Listen(zfoperator.Config{
+		Address:  settings.Listen.Operator,
+		Store:    folder.File(stateFile),
+		Verifier: trusted,
+		Clock:    f.Clock,
+		Logger:   logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.StartStopHook(func() { go server.Run() }, server.Close))
+	return server, nil
+}
+
+// controlAdmin serves the admin address of a process without the entry role.
+func controlAdmin(settings *zfdocument.Settings, counters *zfcounter.Set) (*zfadmin.Server, error) {
+	return zfadmin.Listen(zfadmin.Config{
+		Address:  settings.Listen.Admin,
+		Registry: counters.Registry,
+		Ready:    func() bool { return true },
+		State: func(context.Context) (any, error) {
+			return struct {
+				Name  string            `json:"name"`
+				Roles []zfdocument.Role `json:"roles"`
+			}{
+				Name:  string(settings.Name),
+				Roles: settings.Roles,
+			}, nil
+		},
+	})
+}
+
+func runAdmin(lifecycle fx.Lifecycle, server *zfadmin.Server) {
+	lifecycle.Append(fx.StartStopHook(func() { go server.Run() }, server.Close))
+}
--- /dev/null
+++ b/io/command/zfservecmd/entry.go
@@ -0,0 +1,274 @@
+package zfservecmd
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeebo/xxh3"
+	"go.uber.org/fx"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfinstance"
+	"zinniafront/core/zfmember"
+	"zinniafront/core/zfpick"
+	"zinniafront/core/zfslot"
+	"zinniafront/io/command/zfcmd"
+	"zinniafront/io/zfadmin"
+	"zinniafront/io/zfannounce"
+	"zinniafront/io/zfcounter"
+	"zinniafront/io/zfdocument"
+	"zinniafront/io/zfentry"
+	"zinniafront/io/zfevent"
+	"zinniafront/io/zffront"
+	"zinniafront/io/zfkey"
+	"zinniafront/io/zfoperator"
+	"zinniafront/io/zfpeer"
+	"zinniafront/io/zftraffic"
+	"zinniafront/io/zfwire"
+)
+
+// identity is what one run of an instance is known by.
+type identity struct {
+	member zf.MemberView
+	start  time.Time
+}
+
+func newIdentity(settings *zfdocument.Settings, f *zfcmd.Factory) identity {
+	start := f.Clock.Now()
+	return identity{
+		start: start,
+		member: zf.MemberView{
+			Name:        settings.Name,
+			Centre:      settings.Centre,
+			Relay:       settings.Listen.Relay,
+			Control:     settings.Listen.Control,
+			Incarnation: uint64(start.UnixMilli()),
+		},
+	}
+}
+
+// keys are the keys of an entry instance.
+type keys struct {
+	trusted  *zfkey.TrustedKeys
+	peers    zfkey.SharedKey
+	announce zfkey.SharedKey
+}
+
+func readKeys(settings *zfdocument.Settings) (keys, error) {
+	trusted, err := zfkey.ReadTrusted(settings.Keys.Trusted)
+	if err != nil {
+		return keys{}, err
+	}
+	peers, err := zfkey.ReadShared(settings.Keys.Peers)
+	if err != nil {
+		return keys{}, err
+	}
+	announce, err := zfkey.ReadShared(settings.Keys.Announce)
+	return keys{
+		trusted:  trusted,
+		peers:    peers,
+		announce: announce,
+	}, err
+}
+
+// flags are what other goroutines may read of the control goroutine's state.
+type flags struct {
+	ready  atomic.Bool
+	bundle atomic.Pointer[zfbundle.Bundle]
+}
+
+func newFlags() *flags { return &flags{} }
+
+func newRandom(id identity) zf.Random {
+	return rand.New(rand.NewPCG(id.member.Incarnation, xxh3.HashString(string(id.member.Name))))
+}
+
+func newMapper(k keys, id identity) zf.Mapper {
+	seed := xxh3.Hash(append([]byte("flows "), k.peers...))
+	return zfslot.New(zfslot.DefaultConfig(seed, id.start))
+}
+
+func newWorld(settings *zfdocument.Settings, id identity, mapper zf.Mapper, random zf.Random) *zfinstance.World {
+	return zfinstance.New(zfinstance.Config{
+		Member: zfmember.DefaultConfig(id.member, settings.Peers),
+		Mapper: mapper,
+		Picker: zfpick.Choices{},
+		Random: random,
+	})
+}
+
+func entryModule() fx.Option {
+	return fx.Module("entry",
+		fx.Provide(readKeys, newFlags, newRandom, newMapper, newWorld, newPeers, newLoop, newTraffic,
+			newAnnouncements, newFront, entryAdmin),
+		fx.Invoke(startEntry, runAdmin),
+	)
+}
+
+// peers sends messages once the loop and the socket know of each other.
+type peers struct {
+	socket *zfpeer.Socket
+	take   atomic.Pointer[func(zf.Envelope)]
+}
+
+// Send implements zfentry.Messenger.
+func (p *peers) Send(envelopes []zf.Envelope) { p.socket.Send(envelopes) }
+
+func newPeers(settings *zfdocument.Settings, k keys, counters *zfcounter.Set) (*peers, error) {
+	codec, err := zfwire.New(zfwire.Config{
+		Key:  k.peers,
+		Self: settings.Name,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := &peers{}
+	p.socket, err = zfpeer.Listen(zfpeer.Config{
+		Address:  settings.Listen.Control,
+		Codec:    codec,
+		Counters: counters,
+		Take: func(envelope zf.Envelope) {
+			if take := p.take.Load(); take != nil {
+				(*take)(envelope)
+			}
+		},
+	})
+	return p, err
+}
+
+func newLoop(world *zfinstance.World, p *peers, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger, flags *flags) *zfentry.Loop {
+	loop := zfentry.New(zfentry.Config{
+		World:     world,
+		Messenger: p,
+		Clock:     f.Clock,
+		Counters:  counters,
+		Logger:    logger,
+		Ready:     &flags.ready,
+	})
+	take := loop.Message
+	p.take.Store(&take)
+	return loop
+}
+
+func newTraffic(settings *zfdocument.Settings, mapper zf.Mapper, f *zfcmd.Factory, counters *zfcounter.Set) (*zftraffic.Sockets, error) {
+	return zftraffic.Listen(zftraffic.Config{
+		Traffic:  settings.Listen.Traffic,
+		Relay:    settings.Listen.Relay,
+		Threads:  settings.Threads,
+		Mapper:   mapper,
+		Clock:    f.Clock,
+		Counters: counters,
+	})
+}
+
+func newAnnouncements(settings *zfdocument.Settings, k keys, loop *zfentry.Loop, f *zfcmd.Factory, counters *zfcounter.Set) (*zfannounce.Listener, error) {
+	return zfannounce.Listen(zfannounce.ListenerConfig{
+		Address: settings.Listen.Announce,
+		Decoder: zfannounce.NewDecoder(zfannounce.Config{
+			Verifier: k.announce,
+			Clock:    f.Clock,
+		}),
+		Counters: counters,
+		Take:     loop.Announce,
+	})
+}
+
+func newFront(settings *zfdocument.Settings, id identity, loop *zfentry.Loop, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger, flags *flags) (*zffront.Front, error) {
+	return zffront.Listen(zffront.Config{
+		Address:     settings.Listen.Front,
+		Instance:    settings.Name,
+		Incarnation: id.member.Incarnation,
+		Loop:        loop,
+		Bundle:      flags.bundle.Load,
+		Clock:       f.Clock,
+		Counters:    counters,
+		Logger:      logger,
+	})
+}
+
+func entryAdmin(settings *zfdocument.Settings, counters *zfcounter.Set, loop *zfentry.Loop, flags *flags) (*zfadmin.Server, error) {
+	return zfadmin.Listen(zfadmin.Config{
+		Address:  settings.Listen.Admin,
+		Registry: counters.Registry,
+		Ready:    flags.ready.Load,
+		State: func(ctx context.Context) (any, error) {
+			return loop.Report(ctx)
+		},
+	})
+}
+
+// entryParts are the parts that start and stop together.
+type entryParts struct {
+	fx.In
+
+	Settings      *zfdocument.Settings
+	Keys          keys
+	Flags         *flags
+	Random        zf.Random
+	Factory       *zfcmd.Factory
+	Logger        *zfevent.Logger
+	Loop          *zfentry.Loop
+	Peers         *peers
+	Traffic       *zftraffic.Sockets
+	Announcements *zfannounce.Listener
+	Front         *zffront.Front
+	Drain         drainTime
+}
+
+func startEntry(lifecycle fx.Lifecycle, p entryParts) {
+	ctx, cancel := context.WithCancel(context.Background())
+	subscriber := zfoperator.NewSubscriber(zfoperator.SubscriberConfig{
+		Instance:  p.Settings.Name,
+		Centre:    p.Settings.Centre,
+		Addresses: p.Settings.Controls,
+		Verifier:  p.Keys.trusted,
+		Clock:     p.Factory.Clock,
+		Random:    rand.New(rand.NewPCG(p.Random.Uint64(), p.Random.Uint64())),
+		Logger:    p.Logger,
+		Ready:     p.Flags.ready.Load,
+		Take: func(state zfinstance.State) {
+			p.Loop.Enforce(state)
+			p.Flags.bundle.Store(state.Bundle)
+		},
+	})
+	lifecycle.Append(fx.StartStopHook(
+		func() {
+			go p.Loop.Run(ctx)
+			go p.Peers.socket.Run()
+			go p.Announcements.Run()
+			go p.Front.Run()
+			go subscriber.Run(ctx)
+			p.Traffic.Start()
+		},
+		func(stop context.Context) error {
+			defer cancel()
+			return p.stop(stop)
+		},
+	))
+}
+
+// stop hands over what the instance owns, then closes its sockets.
+func (p entryParts) stop(ctx context.Context) error {
+	p.Loop.Stop()
+	timeout, release := p.Factory.Clock.After(time.Duration(p.Drain))
+	defer release()
+	select {
+	case <-p.Loop.Stopped():
+	case <-timeout:
+		p.Logger.Entry(zfevent.StopIncomplete).Msg("")
+	case <-ctx.Done():
+		p.Logger.Entry(zfevent.StopIncomplete).Msg("")
+	}
+	err := p.Front.Close(ctx)
+	p.Traffic.Close()
+	for _, next := range []func() error{p.Announcements.Close, p.Peers.socket.Close} {
+		if closeErr := next(); err == nil {
+			err = closeErr
+		}
+	}
+	return errors.Wrap(err, "stop entry instance")
+}
--- /dev/null
+++ b/io/command/zfservecmd/serve.go
@@ -0,0 +1,104 @@
+// Package zfservecmd holds the command that runs one process of the system.
+package zfservecmd
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+
+	"zinniafront/io/command/zfcmd"
+	"zinniafront/io/zfcounter"
+	"zinniafront/io/zfdocument"
+	"zinniafront/io/zfevent"
+)
+
+// Options are the flags of serve.
+type Options struct {
+	Settings string        `name:"settings" short:"s" required:"" help:"Settings file of this process."`
+	Drain    time.Duration `name:"drain" default:"20s" help:"How long a planned stop may take."`
+
+	factory *zfcmd.Factory
+}
+
+// Help returns the examples.
+func (*Options) Help() string {
+	return "Example:\n  zinniafront serve --settings examples/entry-1.json\n\n" +
+		"SIGTERM or SIGINT begins a planned stop.\n\n" + zfcmd.ExitHelp
+}
+
+// Run runs the command.
+func (o *Options) Run(f *zfcmd.Factory) error {
+	o.factory = f
+	return serveRun(o)
+}
+
+func serveRun(o *Options) error {
+	settings, err := readSettings(o.Settings)
+	if err != nil {
+		return err
+	}
+	logger := zfevent.New(zfevent.Config{
+		Output:   o.factory.Streams.Err,
+		Level:    settings.Level,
+		Instance: string(settings.Name),
+	})
+	app := fx.New(
+		fx.NopLogger,
+		fx.StopTimeout(o.Drain+stopMargin),
+		fx.Supply(settings, logger, o.factory, drainTime(o.Drain)),
+		fx.Provide(zfcounter.New, newIdentity),
+		roles(settings),
+	)
+	if err := app.Err(); err != nil {
+		return errors.Wrap(dig.RootCause(err), "build process")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		logger.Entry(zfevent.ListenFailed).Err(err).Msg("")
+		return errors.Wrap(err, "start process")
+	}
+	logger.Entry(zfevent.ProcessStarted).Str("centre", string(settings.Centre)).Msg("")
+	<-app.Wait()
+	logger.Entry(zfevent.ProcessStopping).Msg("")
+	ctx, cancel = context.WithTimeout(context.Background(), o.Drain+stopMargin)
+	defer cancel()
+	err = app.Stop(ctx)
+	logger.Entry(zfevent.ProcessStopped).Msg("")
+	return errors.Wrap(err, "stop process")
+}
+
+const (
+	startTimeout = 15 * time.Second
+	stopMargin   = 5 * time.Second
+)
+
+// drainTime is how long a planned stop may take.
+type drainTime time.Duration
+
+func readSettings(path string) (*zfdocument.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return zfdocument.ReadSettings(text, filepath.Dir(path))
+}
+
+// roles returns the modules of the process' roles.
+func roles(settings *zfdocument.Settings) fx.Option {
+	options := make([]fx.Option, 0, 2)
+	if settings.HasRole(zfdocument.RoleControl) {
+		options = append(options, controlModule())
+	}
+	if settings.HasRole(zfdocument.RoleEntry) {
+		options = append(options, entryModule())
+	} else {
+		options = append(options, fx.Provide(controlAdmin), fx.Invoke(runAdmin))
+	}
+	return fx.Options(options...)
+}
--- /dev/null
+++ b/io/zfcounter/counter.go
@@ -0,0 +1,97 @@
+// Package zfcounter holds the counters of one process.
+package zfcounter
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	zf "zinniafront"
+)
+
+// Reasons is one counter for each reason.
+type Reasons struct {
+	counters []metrics.Counter
+}
+
+func newReasons(registry metrics.Registry, prefix string) Reasons {
+	reasons := zf.Reasons()
+	r := Reasons{
+		counters: make([]metrics.Counter, len(reasons)+1),
+	}
+	for _, reason := range reasons {
+		r.counters[reason] = metrics.NewRegisteredCounter(prefix+"."+reason.String(), registry)
+	}
+	return r
+}
+
+// Add counts one case of a reason.
+func (r Reasons) Add(reason zf.Reason) {
+	if reason != zf.ReasonNone {
+		r.counters[reason].Inc(1)
+	}
+}
+
+// Kinds is one counter for each kind of message.
+type Kinds struct {
+	counters []metrics.Counter
+}
+
+func newKinds(registry metrics.Registry, prefix string) Kinds {
+	k := Kinds{
+		counters: make([]metrics.Counter, zf.MessageLeave+1),
+	}
+	for kind := zf.MessageHeartbeat; kind <= zf.MessageLeave; kind++ {
+		k.counters[kind] = metrics.NewRegisteredCounter(prefix+"."+kind.String(), registry)
+	}
+	return k
+}
+
+// Add counts bytes of a kind of message.
+func (k Kinds) Add(kind zf.MessageKind, bytes int) { k.counters[kind].Inc(int64(bytes)) }
+
+// Set is all counters of one process. docs/METRICS.md describes each.
+type Set struct {
+	Registry metrics.Registry
+
+	PacketReceived  metrics.Counter
+	PacketForwarded metrics.Counter
+	PacketRelayed   Reasons
+	PacketDropped   Reasons
+
+	MessageRefused Reasons
+	MessageSent    Kinds
+	MessageTaken   Kinds
+	ControlBytes   metrics.Counter
+
+	AnnounceTaken   metrics.Counter
+	AnnounceRefused Reasons
+
+	RequestTaken   metrics.Counter
+	RequestDone    metrics.Counter
+	RequestRefused Reasons
+	RequestRetried Reasons
+
+	InboxFull Reasons
+}
+
+// New returns a set of counters at zero.
+func New() *Set {
+	registry := metrics.NewRegistry()
+	return &Set{
+		Registry:        registry,
+		PacketReceived:  metrics.NewRegisteredCounter("packet.received", registry),
+		PacketForwarded: metrics.NewRegisteredCounter("packet.forwarded", registry),
+		PacketRelayed:   newReasons(registry, "packet.relayed"),
+		PacketDropped:   newReasons(registry, "packet.dropped"),
+		MessageRefused:  newReasons(registry, "message.refused"),
+		MessageSent:     newKinds(registry, "message.sent"),
+		MessageTaken:    newKinds(registry, "message.taken"),
+		ControlBytes:    metrics.NewRegisteredCounter("control.bytes", registry),
+		AnnounceTaken:   metrics.NewRegisteredCounter("announce.taken", registry),
+		AnnounceRefused: newReasons(registry, "announce.refused"),
+		RequestTaken:    metrics.NewRegisteredCounter("request.taken", registry),
+		RequestDone:     metrics.NewRegisteredCounter("request.done", registry),
+		RequestRefused:  newReasons(registry, "request.refused"),
+		RequestRetried:  newReasons(registry, "request.retried"),
+		InboxFull:       newReasons(registry, "inbox.dropped"),
+	}
+}
--- /dev/null
+++ b/io/zfdocument/bundle.go
@@ -0,0 +1,164 @@
+package zfdocument
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+)
+
+// duration is a time.Duration written as Go writes it, such as "30m".
+type duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *duration) UnmarshalJSON(text []byte) error {
+	var s string
+	if err := json.Unmarshal(text, &s); err != nil {
+		return errors.Wrap(err, "duration")
+	}
+	value, err := time.ParseDuration(s)
+	*d = duration(value)
+	return errors.Wrap(err, "duration")
+}
+
+type bundleDocument struct {
+	Format   int               `json:"format"`
+	Name     string            `json:"name"`
+	Version  uint64            `json:"version"`
+	Centres  []centreDocument  `json:"centres"`
+	Services []serviceDocument `json:"services"`
+	Limits   limitsDocument    `json:"limits"`
+}
+
+type centreDocument struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+type serviceDocument struct {
+	Name      string       `json:"name"`
+	Addresses []netip.Addr `json:"addresses"`
+	Ports     []uint16     `json:"ports"`
+	Protocol  string       `json:"protocol"`
+	Priority  string       `json:"priority"`
+	Once      bool         `json:"once"`
+	Idle      *duration    `json:"idle"`
+	Slots     *int         `json:"slots"`
+	Pool      poolDocument `json:"pool"`
+}
+
+type poolDocument struct {
+	Slots       *int `json:"slots"`
+	Connections *int `json:"connections"`
+	Reports     bool `json:"reports"`
+}
+
+type limitsDocument struct {
+	Expiry   *duration `json:"expiry"`
+	Gone     *duration `json:"gone"`
+	Ramp     *duration `json:"ramp"`
+	Wait     *duration `json:"wait"`
+	Deadline *duration `json:"deadline"`
+	Body     *int64    `json:"body"`
+	Queue    *int      `json:"queue"`
+	Retry    *float64  `json:"retry"`
+}
+
+// Bundle reads a bundle. Its errors about the document are of type *Error.
+func Bundle(text []byte) (*zfbundle.Bundle, error) {
+	var document bundleDocument
+	if err := load(KindBundle, text, &document); err != nil {
+		return nil, err
+	}
+	bundle := document.bundle()
+	if faults := bundle.Check(); len(faults) > 0 {
+		return nil, &Error{
+			Kind:   KindBundle,
+			Faults: faults,
+		}
+	}
+	return bundle, nil
+}
+
+func (d bundleDocument) bundle() *zfbundle.Bundle {
+	bundle := &zfbundle.Bundle{
+		Name:    d.Name,
+		Version: d.Version,
+		Limits:  d.Limits.limits(),
+	}
+	for _, centre := range d.Centres {
+		bundle.Centres = append(bundle.Centres, zfbundle.Centre{
+			Name:   zf.CentreName(centre.Name),
+			Region: centre.Region,
+		})
+	}
+	for _, service := range d.Services {
+		bundle.Services = append(bundle.Services, service.service())
+	}
+	return bundle
+}
+
+func (d serviceDocument) service() zfbundle.Service {
+	service := zfbundle.Service{
+		Name:      zf.ServiceName(d.Name),
+		Addresses: d.Addresses,
+		Ports:     d.Ports,
+		Protocol:  zf.ProtocolTCP,
+		Once:      d.Once,
+		Idle:      durationOr(d.Idle, zfbundle.DefaultIdle),
+		Slots:     intOr(d.Slots, zfbundle.DefaultSlots),
+		Pool: zfbundle.Pool{
+			Capacity: zf.Capacity{
+				Slots:       intOr(d.Pool.Slots, zfbundle.DefaultServerSlots),
+				Connections: intOr(d.Pool.Connections, zfbundle.DefaultConnections),
+			},
+			Reports: d.Pool.Reports,
+		},
+	}
+	if d.Protocol == "udp" {
+		service.Protocol = zf.ProtocolUDP
+	}
+	if d.Priority == "high" {
+		service.Priority = zfbundle.PriorityHigh
+	}
+	return service
+}
+
+func (d limitsDocument) limits() zfbundle.Limits {
+	defaults := zfbundle.DefaultLimits()
+	limits := zfbundle.Limits{
+		Expiry:   durationOr(d.Expiry, defaults.Expiry),
+		Gone:     durationOr(d.Gone, defaults.Gone),
+		Ramp:     durationOr(d.Ramp, defaults.Ramp),
+		Wait:     durationOr(d.Wait, defaults.Wait),
+		Deadline: durationOr(d.Deadline, defaults.Deadline),
+		Body:     defaults.Body,
+		Queue:    intOr(d.Queue, defaults.Queue),
+		Retry:    defaults.Retry,
+	}
+	if d.Body != nil {
+		limits.Body = *d.Body
+	}
+	if d.Retry != nil {
+		limits.Retry = *d.Retry
+	}
+	return limits
+}
+
+func durationOr(value *duration, fallback time.Duration) time.Duration {
+	if value == nil {
+		return fallback
+	}
+	return time.Duration(*value)
+}
+
+func intOr(value *int, fallback int) int {
+	if value == nil {
+		return fallback
+	}
+	return *value
+}
--- /dev/null
+++ b/io/zfdocument/loader.go
@@ -0,0 +1,219 @@
+// Package zfdocument reads the project's own JSON documents: bundles, settings
+// and announcements. It refuses a document with all of its faults at once.
+package zfdocument
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"zinniafront/core/zfbundle"
+)
+
+//go:embed schema/*.json
+var schemaFiles embed.FS
+
+// Kind names a kind of document.
+type Kind string
+
+// The kinds of document.
+const (
+	KindBundle       Kind = "bundle"
+	KindSettings     Kind = "settings"
+	KindAnnouncement Kind = "announcement"
+)
+
+// Error holds every fault of one document.
+type Error struct {
+	Kind   Kind
+	Faults []zfbundle.Fault
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Faults)+1)
+	lines = append(lines, fmt.Sprintf("%s has %d fault(s)", e.Kind, len(e.Faults)))
+	for _, fault := range e.Faults {
+		lines = append(lines, "  "+fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Schema returns the published JSON schema of a kind of document.
+func Schema(kind Kind) ([]byte, error) {
+	text, err := schemaFiles.ReadFile("schema/" + string(kind) + ".json")
+	return text, errors.Wrap(err, "read schema")
+}
+
+var compiled = sync.OnceValues(compileAll)
+
+func compileAll() (map[Kind]*jsonschema.Schema, error) {
+	schemas := make(map[Kind]*jsonschema.Schema)
+	for _, kind := range []Kind{KindBundle, KindSettings, KindAnnouncement} {
+		text, err := Schema(kind)
+		if err != nil {
+			return nil, err
+		}
+		document, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+		if err != nil {
+			return nil, errors.Wrap(err, "decode schema")
+		}
+		compiler := jsonschema.NewCompiler()
+		compiler.AssertFormat()
+		if err := compiler.AddResource(string(kind), document); err != nil {
+			return nil, errors.Wrap(err, "add schema")
+		}
+		schemas[kind], err = compiler.Compile(string(kind))
+		if err != nil {
+			return nil, errors.Wrap(err, "compile schema")
+		}
+	}
+	return schemas, nil
+}
+
+// load checks text against its kind's schema and decodes it into target.
+func load(kind Kind, text []byte, target any) error {
+	schemas, err := compiled()
+	if err != nil {
+		return err
+	}
+	if fault := checkKeys(text); fault != nil {
+		return &Error{
+			Kind:   kind,
+			Faults: []zfbundle.Fault{*fault},
+		}
+	}
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		return &Error{
+			Kind: kind,
+			Faults: []zfbundle.Fault{{
+				Path:    "/",
+				Problem: err.Error(),
+				Allowed: "one JSON document",
+			}},
+		}
+	}
+	if err := schemas[kind].Validate(document); err != nil {
+		return &Error{
+			Kind:   kind,
+			Faults: faultsOf(err),
+		}
+	}
+	return errors.Wrap(json.Unmarshal(text, target), "decode document")
+}
+
+// faultsOf flattens a validation error to its leaves.
+func faultsOf(err error) []zfbundle.Fault {
+	invalid, ok := errors.Cause(err).(*jsonschema.ValidationError)
+	if !ok {
+		return []zfbundle.Fault{{
+			Path:    "/",
+			Problem: err.Error(),
+		}}
+	}
+	printer := message.NewPrinter(language.English)
+	faults := make([]zfbundle.Fault, 0, 4)
+	var visit func(e *jsonschema.ValidationError)
+	visit = func(e *jsonschema.ValidationError) {
+		for _, cause := range e.Causes {
+			visit(cause)
+		}
+		if len(e.Causes) == 0 {
+			faults = append(faults, zfbundle.Fault{
+				Path:    "/" + strings.Join(e.InstanceLocation, "/"),
+				Problem: e.ErrorKind.LocalizedString(printer),
+			})
+		}
+	}
+	visit(invalid)
+	return faults
+}
+
+// checkKeys returns the first fault of syntax or a key that stands twice in
+// one object; the decoders would keep the last one silently.
+func checkKeys(text []byte) *zfbundle.Fault {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	if fault := walk(decoder, ""); fault != nil {
+		return fault
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return &zfbundle.Fault{
+			Path:    "/",
+			Problem: "text after the document",
+			Allowed: "one JSON document",
+		}
+	}
+	return nil
+}
+
+func walk(decoder *json.Decoder, path string) *zfbundle.Fault {
+	token, err := decoder.Token()
+	if err != nil {
+		return syntaxFault(decoder, path, err)
+	}
+	switch token {
+	case json.Delim('{'):
+		return walkObject(decoder, path)
+	case json.Delim('['):
+		for i := 0; decoder.More(); i++ {
+			if fault := walk(decoder, path+"/"+strconv.Itoa(i)); fault != nil {
+				return fault
+			}
+		}
+		_, err = decoder.Token()
+	}
+	if err != nil {
+		return syntaxFault(decoder, path, err)
+	}
+	return nil
+}
+
+func walkObject(decoder *json.Decoder, path string) *zfbundle.Fault {
+	seen := make(map[string]bool)
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return syntaxFault(decoder, path, err)
+		}
+		key, _ := token.(string)
+		place := path + "/" + key
+		if seen[key] {
+			return &zfbundle.Fault{
+				Path:    place,
+				Problem: "stands twice",
+				Allowed: "each key once",
+			}
+		}
+		seen[key] = true
+		if fault := walk(decoder, place); fault != nil {
+			return fault
+		}
+	}
+	if _, err := decoder.Token(); err != nil {
+		return syntaxFault(decoder, path, err)
+	}
+	return nil
+}
+
+func syntaxFault(decoder *json.Decoder, path string, err error) *zfbundle.Fault {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return &zfbundle.Fault{
+		Path:    path + "/",
+		Problem: fmt.Sprintf("%s at byte %d", err, decoder.InputOffset()),
+		Allowed: "one JSON document",
+	}
+}
--- /dev/null
+++ b/io/zfdocument/settings.go
@@ -0,0 +1,229 @@
+package zfdocument
+
+import (
+	"net/netip"
+	"path/filepath"
+	"slices"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+)
+
+// Role is what a process does.
+type Role string
+
+// The roles.
+const (
+	// RoleEntry takes traffic and requests.
+	RoleEntry Role = "entry"
+	// RoleControl keeps the control state on its disk.
+	RoleControl Role = "control"
+)
+
+// Settings is what one process is started with.
+type Settings struct {
+	Name   zf.InstanceName
+	Centre zf.CentreName
+	Roles  []Role
+	Data   string
+	Listen Listen
+	// Peers are control addresses of entry instances to introduce this one to.
+	Peers []netip.AddrPort
+	// Controls are the operator addresses of the control instances.
+	Controls []netip.AddrPort
+	Keys     Keys
+	// Level is the lowest level of log events that are written.
+	Level string
+	// Threads is the number of goroutines that read traffic.
+	Threads int
+	// Plain allows connections between processes without TLS; it is refused
+	// for other addresses than loopback.
+	Plain bool
+}
+
+// Listen holds the addresses that a process listens on.
+type Listen struct {
+	// Traffic takes packets of the fabric, Relay those of other instances.
+	Traffic netip.AddrPort
+	Relay   netip.AddrPort
+	// Control takes messages of other instances.
+	Control netip.AddrPort
+	// Announce takes announcements of backend servers.
+	Announce netip.AddrPort
+	// Front takes requests.
+	Front netip.AddrPort
+	// Admin serves health, metrics and state.
+	Admin netip.AddrPort
+	// Operator takes commands and questions for the control state.
+	Operator netip.AddrPort
+}
+
+// Keys holds the paths of key files.
+type Keys struct {
+	// Trusted are the public keys of operators who may sign bundles.
+	Trusted []string
+	// Peers is the key shared by all instances, Announce the one shared with
+	// the backend servers.
+	Peers    string
+	Announce string
+}
+
+// HasRole reports whether the process has a role.
+func (s *Settings) HasRole(role Role) bool { return slices.Contains(s.Roles, role) }
+
+type settingsDocument struct {
+	Format   int              `json:"format"`
+	Name     string           `json:"name"`
+	Centre   string           `json:"centre"`
+	Roles    []Role           `json:"roles"`
+	Data     string           `json:"data"`
+	Listen   listenDocument   `json:"listen"`
+	Peers    []netip.AddrPort `json:"peers"`
+	Controls []netip.AddrPort `json:"controls"`
+	Keys     keysDocument     `json:"keys"`
+	Level    string           `json:"level"`
+	Threads  *int             `json:"threads"`
+	Plain    bool             `json:"plain"`
+}
+
+type listenDocument struct {
+	Traffic  netip.AddrPort `json:"traffic"`
+	Relay    netip.AddrPort `json:"relay"`
+	Control  netip.AddrPort `json:"control"`
+	Announce netip.AddrPort `json:"announce"`
+	Front    netip.AddrPort `json:"front"`
+	Admin    netip.AddrPort `json:"admin"`
+	Operator netip.AddrPort `json:"operator"`
+}
+
+type keysDocument struct {
+	Trusted  []string `json:"trusted"`
+	Peers    string   `json:"peers"`
+	Announce string   `json:"announce"`
+}
+
+const defaultThreads = 2
+
+// ReadSettings reads settings. Relative paths in it are taken from folder. Its
+// errors about the document are of type *Error.
+func ReadSettings(text []byte, folder string) (*Settings, error) {
+	var document settingsDocument
+	if err := load(KindSettings, text, &document); err != nil {
+		return nil, err
+	}
+	settings := document.settings(folder)
+	if faults := settings.check(); len(faults) > 0 {
+		return nil, &Error{
+			Kind:   KindSettings,
+			Faults: faults,
+		}
+	}
+	return settings, nil
+}
+
+func (d settingsDocument) settings(folder string) *Settings {
+	resolve := func(path string) string {
+		if path == "" || filepath.IsAbs(path) {
+			return path
+		}
+		return filepath.Join(folder, path)
+	}
+	settings := &Settings{
+		Name:     zf.InstanceName(d.Name),
+		Centre:   zf.CentreName(d.Centre),
+		Roles:    d.Roles,
+		Data:     resolve(d.Data),
+		Listen:   Listen(d.Listen),
+		Peers:    d.Peers,
+		Controls: d.Controls,
+		Keys: Keys{
+			Peers:    resolve(d.Keys.Peers),
+			Announce: resolve(d.Keys.Announce),
+		},
+		Level:   d.Level,
+		Threads: intOr(d.Threads, defaultThreads),
+		Plain:   d.Plain,
+	}
+	for _, path := range d.Keys.Trusted {
+		settings.Keys.Trusted = append(settings.Keys.Trusted, resolve(path))
+	}
+	if settings.Level == "" {
+		settings.Level = "info"
+	}
+	return settings
+}
+
+// listenField is one address of Listen with its place in the document.
+type listenField struct {
+	path    string
+	address netip.AddrPort
+	role    Role
+}
+
+func (s *Settings) listenFields() []listenField {
+	return []listenField{
+		{path: "/listen/traffic", address: s.Listen.Traffic, role: RoleEntry},
+		{path: "/listen/relay", address: s.Listen.Relay, role: RoleEntry},
+		{path: "/listen/control", address: s.Listen.Control, role: RoleEntry},
+		{path: "/listen/announce", address: s.Listen.Announce, role: RoleEntry},
+		{path: "/listen/front", address: s.Listen.Front, role: RoleEntry},
+		{path: "/listen/operator", address: s.Listen.Operator, role: RoleControl},
+	}
+}
+
+func (s *Settings) check() []zfbundle.Fault {
+	faults := make([]zfbundle.Fault, 0, 4)
+	add := func(path, problem, allowed string) {
+		faults = append(faults, zfbundle.Fault{
+			Path:    path,
+			Problem: problem,
+			Allowed: allowed,
+		})
+	}
+	for path, name := range map[string]string{
+		"/name":   string(s.Name),
+		"/centre": string(s.Centre),
+	} {
+		if !zfbundle.ValidName(name) {
+			add(path, "is not a name", "1 to 32 lower-case letters, digits and inner hyphens")
+		}
+	}
+	seen := make(map[netip.AddrPort]string)
+	for _, field := range append(s.listenFields(), listenField{
+		path:    "/listen/admin",
+		address: s.Listen.Admin,
+	}) {
+		needed := field.role == "" || s.HasRole(field.role)
+		switch first, taken := seen[field.address]; {
+		case needed && !field.address.IsValid():
+			add(field.path, "is missing", "an address with a port, needed for the roles")
+		case !field.address.IsValid():
+		case field.address.Addr().IsUnspecified() || field.address.Port() == 0:
+			add(field.path, "is not one address", "an IP address and a port from 1")
+		case taken:
+			add(field.path, "is the same as "+first, "each address once")
+		case s.Plain && !field.address.Addr().IsLoopback():
+			add(field.path, "is not loopback", "loopback, as plain is set")
+		}
+		seen[field.address] = field.path
+	}
+	if s.HasRole(RoleControl) && s.Data == "" {
+		add("/data", "is missing", "the data folder, needed for the control role")
+	}
+	if s.HasRole(RoleEntry) && len(s.Controls) == 0 {
+		add("/controls", "is empty", "at least one control instance, needed for the entry role")
+	}
+	if s.HasRole(RoleEntry) && (s.Keys.Peers == "" || s.Keys.Announce == "") {
+		add("/keys", "is not complete", "peers and announce, needed for the entry role")
+	}
+	if len(s.Keys.Trusted) == 0 {
+		add("/keys/trusted", "is empty", "at least one public key of an operator")
+	}
+	slices.SortFunc(faults, func(a, b zfbundle.Fault) int {
+		if a.Path < b.Path {
+			return -1
+		}
+		return 1
+	})
+	return faults
+}
--- /dev/null
+++ b/io/zfevent/event.go
@@ -0,0 +1,102 @@
+// Package zfevent holds the numbered log events. docs/EVENTS.md is their
+// catalogue; a test holds both together.
+package zfevent
+
+import (
+	"io"
+
+	"github.com/phuslu/log"
+)
+
+// Event is one kind of log entry. Its number never changes its meaning.
+type Event struct {
+	Number int
+	Name   string
+	Level  log.Level
+}
+
+// The events of a process.
+var (
+	ProcessStarted  = add(1001, "process started", log.InfoLevel)
+	ProcessStopping = add(1002, "process stopping", log.InfoLevel)
+	ProcessStopped  = add(1003, "process stopped", log.InfoLevel)
+	ListenFailed    = add(1004, "listen failed", log.ErrorLevel)
+	StopIncomplete  = add(1005, "planned stop ended before everything was handed over", log.WarnLevel)
+)
+
+// The events of an entry instance.
+var (
+	ReadyChanged    = add(2001, "readiness changed", log.InfoLevel)
+	MembersChanged  = add(2002, "members changed", log.InfoLevel)
+	ServersChanged  = add(2003, "backend servers changed", log.InfoLevel)
+	StateEnforced   = add(2004, "control state in force", log.InfoLevel)
+	StateRefused    = add(2005, "control state refused", log.WarnLevel)
+	AnnounceRefused = add(2006, "announcement refused", log.DebugLevel)
+	MessageRefused  = add(2007, "message refused", log.DebugLevel)
+	SendFailed      = add(2008, "send failed", log.DebugLevel)
+	ControlLost     = add(2009, "control instance not reached", log.WarnLevel)
+	ControlFound    = add(2010, "control instance reached", log.InfoLevel)
+)
+
+// The events of a control instance.
+var (
+	CommandDone    = add(3001, "command carried out", log.InfoLevel)
+	CommandRefused = add(3002, "command refused", log.WarnLevel)
+	StateLoaded    = add(3003, "control state loaded", log.InfoLevel)
+	StateSaveFail  = add(3004, "control state not saved", log.ErrorLevel)
+)
+
+// The events of requests.
+var (
+	RequestRefused = add(4001, "request refused", log.DebugLevel)
+	RequestRetried = add(4002, "request tried again", log.DebugLevel)
+	RequestFailed  = add(4003, "request failed", log.InfoLevel)
+)
+
+var events []Event
+
+func add(number int, name string, level log.Level) Event {
+	event := Event{
+		Number: number,
+		Name:   name,
+		Level:  level,
+	}
+	events = append(events, event)
+	return event
+}
+
+// Events returns every event, by number.
+func Events() []Event { return events }
+
+// Config holds what a logger is built from.
+type Config struct {
+	// Output gets one JSON document a line.
+	Output io.Writer
+	// Level is the lowest level that is written, by name.
+	Level string
+	// Instance is written with every entry.
+	Instance string
+}
+
+// Logger writes events.
+type Logger struct {
+	logger log.Logger
+}
+
+// New returns a logger.
+func New(config Config) *Logger {
+	return &Logger{
+		logger: log.Logger{
+			Level:   log.ParseLevel(config.Level),
+			Context: log.NewContext(nil).Str("instance", config.Instance).Value(),
+			Writer: &log.IOWriter{
+				Writer: config.Output,
+			},
+		},
+	}
+}
+
+// Entry begins an entry of an event; Msg on it writes the entry.
+func (l *Logger) Entry(event Event) *log.Entry {
+	return l.logger.WithLevel(event.Level).Int("event", event.Number).Str("name", event.Name)
+}
--- /dev/null
+++ b/io/zffront/front.go
@@ -0,0 +1,328 @@
+// Package zffront takes requests over HTTP, gets a slot of a backend server
+// for each and hands the whole answer to the caller that asked.
+package zffront
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfrequest"
+	"zinniafront/io/zfcounter"
+	"zinniafront/io/zfentry"
+	"zinniafront/io/zfevent"
+)
+
+// The headers that the front reads and writes.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderTimeout = "Request-Timeout"
+	HeaderID      = "Request-Id"
+)
+
+const (
+	mostKey      = 256
+	mostHeaders  = 16 << 10
+	readTimeout  = 10 * time.Second
+	idleTimeout  = time.Minute
+	dialTimeout  = time.Second
+	mostAttempts = 3
+)
+
+// Config holds what a front is built from.
+type Config struct {
+	Address  netip.AddrPort
+	Instance zf.InstanceName
+	// Incarnation makes request ids of a restarted instance new.
+	Incarnation uint64
+	Loop        *zfentry.Loop
+	// Bundle returns the bundle in force, or nil.
+	Bundle   func() *zfbundle.Bundle
+	Clock    zf.Clock
+	Counters *zfcounter.Set
+	Logger   *zfevent.Logger
+}
+
+// Front serves requests.
+type Front struct {
+	config    Config
+	listener  net.Listener
+	server    *http.Server
+	transport *http.Transport
+	next      atomic.Uint64
+}
+
+// errDial tells that a request was certainly not sent.
+type errDial struct{ cause error }
+
+func (e *errDial) Error() string { return "not sent: " + e.cause.Error() }
+func (e *errDial) Unwrap() error { return e.cause }
+
+// Listen opens the socket.
+func Listen(config Config) (*Front, error) {
+	listener, err := net.Listen("tcp", config.Address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for requests")
+	}
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+	}
+	front := &Front{
+		config:   config,
+		listener: listener,
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, &errDial{cause: err}
+				}
+				return conn, nil
+			},
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     idleTimeout,
+		},
+	}
+	front.server = &http.Server{
+		Handler:           front,
+		ReadHeaderTimeout: readTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    mostHeaders,
+	}
+	return front, nil
+}
+
+// Run serves until the front is closed.
+func (f *Front) Run() {
+	// Serve always returns an error; after Close it is not news.
+	_ = f.server.Serve(f.listener)
+}
+
+// Close ends the front once requests under way have been answered, or ctx ends.
+func (f *Front) Close(ctx context.Context) error {
+	err := f.server.Shutdown(ctx)
+	f.transport.CloseIdleConnections()
+	return errors.Wrap(err, "close requests")
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	service  *zfbundle.Service
+	limits   zfbundle.Limits
+	request  *http.Request
+	body     []byte
+	id       string
+	deadline time.Time
+	avoid    []zf.ServerID
+}
+
+// answer is a whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ServeHTTP implements http.Handler. The Host header names the service.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.config.Counters.RequestTaken.Inc(1)
+	x, reason := f.prepare(w, r)
+	if reason != zf.ReasonNone {
+		f.refuse(w, reason, time.Second)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), x.deadline.Sub(f.config.Clock.Now()))
+	defer cancel()
+	for attempt := 1; ; attempt++ {
+		a, refusal := f.attempt(ctx, x)
+		switch {
+		case refusal.Reason == zf.ReasonNone:
+			f.config.Counters.RequestDone.Inc(1)
+			a.write(w)
+			return
+		case refusal.Reason == zf.ReasonSendFailed && attempt < mostAttempts && ctx.Err() == nil:
+			f.config.Counters.RequestRetried.Add(zf.ReasonRetryNotSent)
+			f.config.Logger.Entry(zfevent.RequestRetried).Str("request", x.id).Msg("")
+		default:
+			f.refuse(w, refusal.Reason, refusal.Retry)
+			return
+		}
+	}
+}
+
+func (f *Front) refuse(w http.ResponseWriter, reason zf.Reason, retry time.Duration) {
+	f.config.Counters.RequestRefused.Add(reason)
+	f.config.Logger.Entry(zfevent.RequestRefused).Str("reason", reason.String()).Msg("")
+	write(w, reason, retry)
+}
+
+// prepare checks a request and reads its body.
+func (f *Front) prepare(w http.ResponseWriter, r *http.Request) (*exchange, zf.Reason) {
+	bundle := f.config.Bundle()
+	if bundle == nil {
+		return nil, zf.ReasonNotReady
+	}
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	service := bundle.Find(zf.ServiceName(host))
+	if service == nil {
+		return nil, zf.ReasonNoSuchService
+	}
+	key := r.Header.Get(HeaderKey)
+	switch {
+	case service.Once && key == "":
+		return nil, zf.ReasonKeyMissing
+	case len(key) > mostKey:
+		return nil, zf.ReasonBadField
+	}
+	timeout := bundle.Limits.Deadline
+	if text := r.Header.Get(HeaderTimeout); text != "" {
+		asked, err := time.ParseDuration(text)
+		if err != nil || asked <= 0 {
+			return nil, zf.ReasonBadField
+		}
+		timeout = min(timeout, asked)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bundle.Limits.Body))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, zf.ReasonBodyTooLarge
+	case err != nil:
+		return nil, zf.ReasonCallerGone
+	}
+	return &exchange{
+		service:  service,
+		limits:   bundle.Limits,
+		request:  r,
+		body:     body,
+		id:       f.newID(),
+		deadline: f.config.Clock.Now().Add(timeout),
+	}, zf.ReasonNone
+}
+
+// newID returns an id that no other request has.
+func (f *Front) newID() string {
+	return string(f.config.Instance) + "-" + strconv.FormatUint(f.config.Incarnation, 36) + "-" +
+		strconv.FormatUint(f.next.Add(1), 36)
+}
+
+// attempt gets a slot, sends the request and returns the whole answer, or a
+// refusal.
+func (f *Front) attempt(ctx context.Context, x *exchange) (*answer, zfrequest.Decision) {
+	grant, err := f.config.Loop.Acquire(ctx, zfrequest.Request{
+		Service:  x.service.Name,
+		Deadline: x.deadline,
+		Avoid:    x.avoid,
+	})
+	if err != nil {
+		reason := zf.ReasonDeadline
+		switch {
+		case errors.Is(err, context.Canceled):
+			reason = zf.ReasonCallerGone
+		case errors.Is(err, zfentry.ErrStopped):
+			reason = zf.ReasonNotReady
+		}
+		return nil, zfrequest.Decision{
+			Reason: reason,
+		}
+	}
+	if !grant.Granted {
+		return nil, grant.Decision
+	}
+	defer f.config.Loop.Release(grant.ID)
+	a, reason := f.dispatch(ctx, x, grant.Web)
+	if reason == zf.ReasonSendFailed {
+		x.avoid = append(x.avoid, grant.Server)
+	}
+	return a, zfrequest.Decision{
+		Reason: reason,
+		Retry:  time.Second,
+	}
+}
+
+// dispatch sends the request to a backend server and reads its whole answer.
+func (f *Front) dispatch(ctx context.Context, x *exchange, web netip.AddrPort) (*answer, zf.Reason) {
+	url := *x.request.URL
+	url.Scheme = "http"
+	url.Host = web.String()
+	// The body hides its type, so that the transport can't send it a second
+	// time on its own after a connection was lost.
+	body := struct{ io.Reader }{bytes.NewReader(x.body)}
+	out, err := http.NewRequestWithContext(ctx, x.request.Method, url.String(), io.NopCloser(body))
+	if err != nil {
+		return nil, zf.ReasonBadField
+	}
+	out.ContentLength = int64(len(x.body))
+	out.Host = x.request.Host
+	copyHeader(out.Header, x.request.Header)
+	out.Header.Set(HeaderID, x.id)
+	out.Header.Set(HeaderTimeout, x.deadline.Sub(f.config.Clock.Now()).String())
+	response, err := f.transport.RoundTrip(out)
+	if err != nil {
+		var dial *errDial
+		if errors.As(err, &dial) {
+			return nil, zf.ReasonSendFailed
+		}
+		return nil, zf.ReasonUpstreamFailed
+	}
+	defer response.Body.Close()
+	if id := response.Header.Get(HeaderID); id != x.id {
+		return nil, zf.ReasonAnswerCrossed
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, x.limits.Body+1))
+	switch {
+	case err != nil:
+		return nil, zf.ReasonAnswerCut
+	case int64(len(text)) > x.limits.Body:
+		return nil, zf.ReasonTooLarge
+	}
+	return &answer{
+		status: response.StatusCode,
+		header: response.Header,
+		body:   text,
+	}, zf.ReasonNone
+}
+
+func (a *answer) write(w http.ResponseWriter) {
+	copyHeader(w.Header(), a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = w.Write(a.body)
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !hopHeaders[name] {
+			to[name] = values
+		}
+	}
+}
--- /dev/null
+++ b/io/zfkey/key.go
@@ -0,0 +1,229 @@
+// Package zfkey keeps keys in files of JSON Web Keys and makes and checks
+// signatures as JSON Web Signatures (RFC 7515, RFC 7517).
+package zfkey
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io/fs"
+	"os"
+
+	"github.com/go-jose/go-jose/v4"
+	"github.com/pkg/errors"
+)
+
+// The errors of the package.
+var (
+	ErrMode      = errors.New("key file can be read by others; its mode has to be 0600")
+	ErrFormat    = errors.New("not a key file")
+	ErrKind      = errors.New("key of the wrong kind")
+	ErrExists    = errors.New("file exists")
+	ErrSignature = errors.New("no trusted key made the signature")
+)
+
+const (
+	privateMode fs.FileMode = 0o600
+	publicMode  fs.FileMode = 0o644
+	sharedBytes             = 32
+)
+
+// SignKey is an operator's private key.
+type SignKey struct {
+	jwk jose.JSONWebKey
+}
+
+// TrustedKeys are the public keys of operators.
+type TrustedKeys struct {
+	keys []jose.JSONWebKey
+}
+
+// SharedKey is a secret that machines share.
+type SharedKey []byte
+
+// NewSign makes a key pair and writes the private key to path and the public
+// key to path with ".pub" added. Existing files are kept.
+func NewSign(path string) (id string, err error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return "", errors.Wrap(err, "make key")
+	}
+	sum := sha256.Sum256(public)
+	id = hex.EncodeToString(sum[:8])
+	if err := write(path, privateMode, jose.JSONWebKey{
+		Key:       private,
+		KeyID:     id,
+		Algorithm: string(jose.EdDSA),
+		Use:       "sig",
+	}); err != nil {
+		return "", err
+	}
+	return id, write(path+".pub", publicMode, jose.JSONWebKey{
+		Key:       public,
+		KeyID:     id,
+		Algorithm: string(jose.EdDSA),
+		Use:       "sig",
+	})
+}
+
+// NewShared makes a shared key and writes it to path. An existing file is kept.
+func NewShared(path string) (id string, err error) {
+	secret := make([]byte, sharedBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return "", errors.Wrap(err, "make key")
+	}
+	sum := sha256.Sum256(secret)
+	id = hex.EncodeToString(sum[:8])
+	return id, write(path, privateMode, jose.JSONWebKey{
+		Key:       secret,
+		KeyID:     id,
+		Algorithm: string(jose.HS256),
+		Use:       "sig",
+	})
+}
+
+func write(path string, mode fs.FileMode, key jose.JSONWebKey) error {
+	text, err := json.MarshalIndent(key, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if errors.Is(err, fs.ErrExist) {
+		return errors.Wrap(ErrExists, path)
+	}
+	if err != nil {
+		return errors.Wrap(err, "create key file")
+	}
+	if _, err := file.Write(append(text, '\n')); err != nil {
+		_ = file.Close()
+		return errors.Wrap(err, "write key file")
+	}
+	return errors.Wrap(file.Close(), "close key file")
+}
+
+func read(path string, secret bool) (jose.JSONWebKey, error) {
+	var key jose.JSONWebKey
+	info, err := os.Stat(path)
+	if err != nil {
+		return key, errors.Wrap(err, "read key file")
+	}
+	if secret && info.Mode().Perm()&0o077 != 0 {
+		return key, errors.Wrap(ErrMode, path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return key, errors.Wrap(err, "read key file")
+	}
+	if err := key.UnmarshalJSON(text); err != nil {
+		return key, errors.Wrap(ErrFormat, path)
+	}
+	// The library knows no rule for shared keys; ReadShared checks their length.
+	if _, shared := key.Key.([]byte); !shared && !key.Valid() {
+		return key, errors.Wrap(ErrFormat, path)
+	}
+	return key, nil
+}
+
+// ReadSign reads an operator's private key.
+func ReadSign(path string) (*SignKey, error) {
+	key, err := read(path, true)
+	if err != nil {
+		return nil, err
+	}
+	if _, ok := key.Key.(ed25519.PrivateKey); !ok {
+		return nil, errors.Wrap(ErrKind, path)
+	}
+	return &SignKey{
+		jwk: key,
+	}, nil
+}
+
+// ReadTrusted reads the public keys of operators.
+func ReadTrusted(paths []string) (*TrustedKeys, error) {
+	trusted := &TrustedKeys{}
+	for _, path := range paths {
+		key, err := read(path, false)
+		if err != nil {
+			return nil, err
+		}
+		if _, ok := key.Key.(ed25519.PublicKey); !ok {
+			return nil, errors.Wrap(ErrKind, path)
+		}
+		trusted.keys = append(trusted.keys, key)
+	}
+	return trusted, nil
+}
+
+// ReadShared reads a shared key.
+func ReadShared(path string) (SharedKey, error) {
+	key, err := read(path, true)
+	if err != nil {
+		return nil, err
+	}
+	secret, ok := key.Key.([]byte)
+	if !ok || len(secret) < sharedBytes {
+		return nil, errors.Wrap(ErrKind, path)
+	}
+	return secret, nil
+}
+
+// Sign returns the compact JSON Web Signature of a document.
+func (k *SignKey) Sign(document []byte) ([]byte, error) {
+	return sign(jose.EdDSA, k.jwk, document)
+}
+
+func sign(algorithm jose.SignatureAlgorithm, key any, document []byte) ([]byte, error) {
+	signer, err := jose.NewSigner(jose.SigningKey{
+		Algorithm: algorithm,
+		Key:       key,
+	}, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make signer")
+	}
+	signature, err := signer.Sign(document)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign")
+	}
+	text, err := signature.CompactSerialize()
+	return []byte(text), errors.Wrap(err, "encode signature")
+}
+
+// Verify implements zinniafront.Verifier.
+func (t *TrustedKeys) Verify(signed []byte) ([]byte, error) {
+	signature, err := jose.ParseSignedCompact(string(signed), []jose.SignatureAlgorithm{jose.EdDSA})
+	if err != nil {
+		return nil, errors.Wrap(ErrSignature, err.Error())
+	}
+	for i := range t.keys {
+		if document, err := signature.Verify(t.keys[i]); err == nil {
+			return document, nil
+		}
+	}
+	return nil, errors.WithStack(ErrSignature)
+}
+
+// Sign returns the compact JSON Web Signature of a document.
+func (k SharedKey) Sign(document []byte) ([]byte, error) {
+	return sign(jose.HS256, []byte(k), document)
+}
+
+// Verify implements zinniafront.Verifier.
+func (k SharedKey) Verify(signed []byte) ([]byte, error) {
+	signature, err := jose.ParseSignedCompact(string(signed), []jose.SignatureAlgorithm{jose.HS256})
+	if err != nil {
+		return nil, errors.Wrap(ErrSignature, err.Error())
+	}
+	document, err := signature.Verify([]byte(k))
+	if err != nil {
+		return nil, errors.WithStack(ErrSignature)
+	}
+	return document, nil
+}
+
+// Digest identifies a signed document.
+func Digest(document []byte) string {
+	sum := sha256.Sum256(document)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/io/zfoperator/client.go
@@ -0,0 +1,94 @@
+package zfoperator
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+
+	"github.com/pkg/errors"
+)
+
+// The errors of a client.
+var (
+	// ErrUnreachable tells that no control instance was asked.
+	ErrUnreachable = errors.New("nothing was sent: no control instance can be reached")
+	// ErrUnknown tells that a command was sent and its answer lost.
+	ErrUnknown = errors.New("outcome unknown: the answer was lost; send the same command again")
+)
+
+// Client asks control instances over net/rpc.
+type Client struct {
+	addresses []netip.AddrPort
+}
+
+// NewClient returns a client of the control instances at addresses.
+func NewClient(addresses []netip.AddrPort) *Client {
+	return &Client{
+		addresses: addresses,
+	}
+}
+
+// call asks the first control instance that can be reached.
+func (c *Client) call(ctx context.Context, method string, args, reply any) error {
+	var dialer net.Dialer
+	for _, address := range c.addresses {
+		conn, err := dialer.DialContext(ctx, "tcp", address.String())
+		if err != nil {
+			continue
+		}
+		return exchange(ctx, conn, method, args, reply)
+	}
+	return errors.WithStack(ErrUnreachable)
+}
+
+func exchange(ctx context.Context, conn net.Conn, method string, args, reply any) error {
+	client := rpc.NewClient(conn)
+	defer client.Close()
+	call := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return errors.Wrap(ErrUnknown, ctx.Err().Error())
+	}
+	var answered rpc.ServerError
+	if call.Error != nil && !errors.As(call.Error, &answered) {
+		return errors.Wrap(ErrUnknown, call.Error.Error())
+	}
+	return call.Error
+}
+
+// Accept sends a signed bundle.
+func (c *Client) Accept(ctx context.Context, args AcceptArgs) (Reply, error) {
+	var reply Reply
+	err := c.call(ctx, "Accept", args, &reply)
+	return reply, err
+}
+
+// Roll puts an accepted bundle in force.
+func (c *Client) Roll(ctx context.Context, args RollArgs) (Reply, error) {
+	var reply Reply
+	err := c.call(ctx, "Roll", args, &reply)
+	return reply, err
+}
+
+// Centre takes a data centre out or brings it back.
+func (c *Client) Centre(ctx context.Context, args CentreArgs) (Reply, error) {
+	var reply Reply
+	err := c.call(ctx, "Centre", args, &reply)
+	return reply, err
+}
+
+// Status asks for the control state.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var reply Status
+	err := c.call(ctx, "Status", StatusArgs{}, &reply)
+	return reply, err
+}
+
+// Fetch asks for a later control state.
+func (c *Client) Fetch(ctx context.Context, args FetchArgs) (FetchReply, error) {
+	var reply FetchReply
+	err := c.call(ctx, "Fetch", args, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/io/zfoperator/message.go
@@ -0,0 +1,68 @@
+// Package zfoperator carries the control state over net/rpc: operators send
+// commands to a control instance, entry instances fetch what is in force.
+package zfoperator
+
+import (
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfcontrol"
+)
+
+// AcceptArgs asks to accept a signed bundle.
+type AcceptArgs struct {
+	Signed []byte
+}
+
+// RollArgs asks to put an accepted bundle in force.
+type RollArgs struct {
+	Version uint64
+}
+
+// CentreArgs asks to take a data centre out or bring it back.
+type CentreArgs struct {
+	Centre zf.CentreName
+	Out    bool
+}
+
+// Reply is the outcome of a command.
+type Reply struct {
+	Outcome zfcontrol.Outcome
+}
+
+// StatusArgs asks for the control state.
+type StatusArgs struct{}
+
+// Status is the control state and how far it has spread.
+type Status struct {
+	State     zfcontrol.State
+	Instances []Progress
+}
+
+// Progress is what one entry instance reported last.
+type Progress struct {
+	Instance zf.InstanceName
+	Centre   zf.CentreName
+	Sequence uint64
+	Ready    bool
+	// Silent is the time since the report.
+	Silent time.Duration
+}
+
+// FetchArgs asks for a control state later than Sequence, and reports what the
+// instance has in force.
+type FetchArgs struct {
+	Instance zf.InstanceName
+	Centre   zf.CentreName
+	Sequence uint64
+	Ready    bool
+	// Wait is how long the answer may be held back while there is no news.
+	Wait time.Duration
+}
+
+// FetchReply is the control state in force; Signed is empty if nothing is.
+type FetchReply struct {
+	Sequence uint64
+	Signed   []byte
+	Out      []zf.CentreName
+}
--- /dev/null
+++ b/io/zfoperator/subscriber.go
@@ -0,0 +1,122 @@
+package zfoperator
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfinstance"
+	"zinniafront/io/zfevent"
+)
+
+const (
+	// fetchWait is how long a control instance may hold an answer back.
+	fetchWait = time.Second
+	// answerTimeout is how long the answer may take beyond that.
+	answerTimeout = time.Second
+	// pauseLeast and pauseMost bound the pause after a failed fetch.
+	pauseLeast = 100 * time.Millisecond
+	pauseMost  = time.Second
+)
+
+// SubscriberConfig holds what a subscriber is built from.
+type SubscriberConfig struct {
+	Instance  zf.InstanceName
+	Centre    zf.CentreName
+	Addresses []netip.AddrPort
+	Verifier  zf.Verifier
+	Clock     zf.Clock
+	Random    zf.Random
+	Logger    *zfevent.Logger
+	// Take gets each later control state and returns once it is in force.
+	Take func(zfinstance.State)
+	// Ready reports whether the instance serves.
+	Ready func() bool
+}
+
+// Subscriber fetches the control state for an entry instance.
+type Subscriber struct {
+	config   SubscriberConfig
+	sequence uint64
+	reached  bool
+	next     int
+}
+
+// NewSubscriber returns a subscriber.
+func NewSubscriber(config SubscriberConfig) *Subscriber {
+	return &Subscriber{
+		config:  config,
+		reached: true,
+	}
+}
+
+// Run fetches until ctx ends. After a failure it goes on to the next control
+// instance after a pause.
+func (s *Subscriber) Run(ctx context.Context) {
+	pause := pauseLeast
+	for ctx.Err() == nil {
+		if s.fetch(ctx) {
+			pause = pauseLeast
+			continue
+		}
+		s.next++
+		jitter := time.Duration(s.config.Random.IntN(int(pause)))
+		wake, release := s.config.Clock.After(pause/2 + jitter/2)
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			release()
+			return
+		}
+		pause = min(2*pause, pauseMost)
+	}
+}
+
+func (s *Subscriber) fetch(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, fetchWait+answerTimeout)
+	defer cancel()
+	address := s.config.Addresses[s.next%len(s.config.Addresses)]
+	reply, err := NewClient([]netip.AddrPort{address}).Fetch(ctx, FetchArgs{
+		Instance: s.config.Instance,
+		Centre:   s.config.Centre,
+		Sequence: s.sequence,
+		Ready:    s.config.Ready(),
+		Wait:     fetchWait,
+	})
+	if reached := err == nil; reached != s.reached {
+		s.reached = reached
+		event := zfevent.ControlLost
+		if reached {
+			event = zfevent.ControlFound
+		}
+		s.config.Logger.Entry(event).Str("address", address.String()).Err(err).Msg("")
+	}
+	if err != nil {
+		return false
+	}
+	if reply.Sequence <= s.sequence {
+		return true
+	}
+	if len(reply.Signed) == 0 {
+		s.sequence = reply.Sequence
+		return true
+	}
+	return s.take(reply)
+}
+
+func (s *Subscriber) take(reply FetchReply) bool {
+	bundle, digest, err := open(s.config.Verifier, reply.Signed)
+	if err != nil {
+		s.config.Logger.Entry(zfevent.StateRefused).Uint64("sequence", reply.Sequence).Err(err).Msg("")
+		return false
+	}
+	s.sequence = reply.Sequence
+	s.config.Take(zfinstance.State{
+		Sequence: reply.Sequence,
+		Bundle:   bundle,
+		Digest:   digest,
+		Out:      reply.Out,
+	})
+	return true
+}
--- /dev/null
+++ b/io/zfpeer/socket.go
@@ -0,0 +1,95 @@
+// Package zfpeer carries the messages between instances in UDP datagrams.
+package zfpeer
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	zf "zinniafront"
+	"zinniafront/io/zfcounter"
+)
+
+const (
+	mostBytes   = 64 << 10
+	bufferBytes = 4 << 20
+)
+
+// Config holds what a socket is built from.
+type Config struct {
+	Address  netip.AddrPort
+	Codec    zf.Codec
+	Counters *zfcounter.Set
+	// Take gets each message that was not refused.
+	Take func(zf.Envelope)
+}
+
+// Socket sends and receives messages.
+type Socket struct {
+	config Config
+	conn   *net.UDPConn
+}
+
+// Listen opens the socket.
+func Listen(config Config) (*Socket, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(config.Address))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for messages")
+	}
+	// The system may grant less; lost messages are repeated.
+	_ = conn.SetReadBuffer(bufferBytes)
+	return &Socket{
+		config: config,
+		conn:   conn,
+	}, nil
+}
+
+// Send encodes and sends messages. One that can't be sent is counted: every
+// message is repeated until it is acknowledged or out of date.
+func (s *Socket) Send(envelopes []zf.Envelope) {
+	for _, envelope := range envelopes {
+		datagram, err := s.config.Codec.Encode(envelope)
+		if err == nil {
+			_, err = s.conn.WriteToUDPAddrPort(datagram, envelope.Address)
+		}
+		if err != nil {
+			s.config.Counters.MessageRefused.Add(zf.ReasonSendFailed)
+			continue
+		}
+		s.config.Counters.MessageSent.Add(envelope.Message.Kind(), len(datagram))
+		s.config.Counters.ControlBytes.Inc(int64(len(datagram)))
+	}
+}
+
+// Run receives until the socket is closed.
+func (s *Socket) Run() {
+	buffer := make([]byte, mostBytes)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // An ICMP error of an earlier write; the socket still works.
+		}
+		envelope, err := s.config.Codec.Decode(buffer[:n])
+		if err != nil {
+			s.config.Counters.MessageRefused.Add(reasonOf(err))
+			continue
+		}
+		s.config.Counters.MessageTaken.Add(envelope.Message.Kind(), n)
+		s.config.Take(envelope)
+	}
+}
+
+func reasonOf(err error) zf.Reason {
+	var wire *zf.WireError
+	if errors.As(err, &wire) {
+		return wire.Reason
+	}
+	return zf.ReasonBadEncoding
+}
+
+// Close closes the socket.
+func (s *Socket) Close() error { return errors.Wrap(s.conn.Close(), "close messages") }
--- /dev/null
+++ b/io/zfstore/file.go
@@ -0,0 +1,131 @@
+// Package zfstore keeps documents durable under one data folder.
+package zfstore
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// The errors of the package.
+var (
+	ErrDamaged = errors.New("file is damaged")
+	ErrInUse   = errors.New("data folder is in use by another process")
+)
+
+const (
+	folderMode fs.FileMode = 0o700
+	fileMode   fs.FileMode = 0o600
+	// header is the first line of a file: the format's name and version.
+	header = "zinniafront-state 1 "
+)
+
+// Folder is a data folder that this process alone uses.
+type Folder struct {
+	path string
+	lock *os.File
+}
+
+// Open takes a data folder into use, making it if need be.
+func Open(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, errors.Wrap(err, "make data folder")
+	}
+	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, errors.Wrap(err, "open data folder")
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, errors.Wrap(ErrInUse, path)
+	}
+	return &Folder{
+		path: path,
+		lock: lock,
+	}, nil
+}
+
+// Close ends the use of the folder.
+func (f *Folder) Close() error { return errors.Wrap(f.lock.Close(), "close data folder") }
+
+// File is one document in a folder; it implements zinniafront.Store.
+type File struct {
+	folder *Folder
+	name   string
+}
+
+// File returns the document of a name.
+func (f *Folder) File(name string) *File {
+	return &File{
+		folder: f,
+		name:   name,
+	}
+}
+
+func (f *File) path() string { return filepath.Join(f.folder.path, f.name) }
+
+// Load implements zinniafront.Store. A damaged file is refused with its name.
+func (f *File) Load() ([]byte, error) {
+	text, err := os.ReadFile(f.path())
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read state")
+	}
+	line, document, ok := bytes.Cut(text, []byte{'\n'})
+	sum, known := bytes.CutPrefix(line, []byte(header))
+	if !ok || !known {
+		return nil, errors.Wrapf(ErrDamaged, "%s: offset 0: no header", f.path())
+	}
+	if string(sum) != checksum(document) {
+		return nil, errors.Wrapf(ErrDamaged, "%s: offset %d: checksum differs", f.path(), len(line)+1)
+	}
+	return document, nil
+}
+
+func checksum(document []byte) string {
+	sum := sha256.Sum256(document)
+	return hex.EncodeToString(sum[:])
+}
+
+// Save implements zinniafront.Store. The document replaces the earlier one in
+// one step, after it is synced.
+func (f *File) Save(document []byte) error {
+	temporary := f.path() + ".new"
+	file, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "write state")
+	}
+	text := append([]byte(header+checksum(document)+"\n"), document...)
+	if _, err := file.Write(text); err != nil {
+		_ = file.Close()
+		return errors.Wrap(err, "write state")
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return errors.Wrap(err, "sync state")
+	}
+	if err := file.Close(); err != nil {
+		return errors.Wrap(err, "close state")
+	}
+	if err := os.Rename(temporary, f.path()); err != nil {
+		return errors.Wrap(err, "replace state")
+	}
+	return syncFolder(f.folder.path)
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "open data folder")
+	}
+	defer folder.Close()
+	return errors.Wrap(folder.Sync(), "sync data folder")
+}
--- /dev/null
+++ b/lab/zfbackend/server.go
@@ -0,0 +1,277 @@
+package zfbackend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	zf "zinniafront"
+	"zinniafront/io/zfdocument"
+	"zinniafront/lab/zfsegment"
+	"zinniafront/lab/zftopology"
+)
+
+// Lie is how a backend server reports its load.
+type Lie string
+
+// The ways of reporting.
+const (
+	LieNone  Lie = "none"
+	LieZero  Lie = "zero"
+	LieFull  Lie = "full"
+	LieStuck Lie = "stuck"
+)
+
+const (
+	announceEvery = time.Second
+	tickEvery     = 100 * time.Millisecond
+	inboxCalls    = 4096
+	mostBytes     = 64 << 10
+	mostBody      = 1 << 20
+	defaultWork   = 20 * time.Millisecond
+	readTimeout   = 10 * time.Second
+)
+
+// Signer makes the signature of announcements.
+type Signer interface {
+	// Sign returns the signed document.
+	Sign(document []byte) ([]byte, error)
+}
+
+// Config holds what a backend server is built from.
+type Config struct {
+	Topology *zftopology.Topology
+	Name     string
+	State    zf.ServerState
+	Lie      Lie
+	Lag      time.Duration
+	Signer   Signer
+	Clock    zf.Clock
+}
+
+// Server is one backend server.
+type Server struct {
+	config   Config
+	server   zftopology.Server
+	table    *Table
+	packets  *net.UDPConn
+	web      net.Listener
+	calls    chan func(now time.Time)
+	done     chan struct{}
+	announce time.Time
+	loads    []float64
+	sequence uint64
+}
+
+// Listen opens the sockets.
+func Listen(config Config) (*Server, error) {
+	server := config.Topology.Find(config.Name)
+	if server == nil {
+		return nil, errors.Errorf("no backend server %q in the topology", config.Name)
+	}
+	var frontend *zftopology.Service
+	for i := range config.Topology.Services {
+		if config.Topology.Services[i].Name == server.Service {
+			frontend = &config.Topology.Services[i]
+		}
+	}
+	packets, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(server.Address))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for packets")
+	}
+	web, err := net.Listen("tcp", server.Web.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for requests")
+	}
+	return &Server{
+		config:  config,
+		server:  *server,
+		table:   NewTable(*server, frontend, config.State, config.Clock.Now()),
+		packets: packets,
+		web:     web,
+		calls:   make(chan func(now time.Time), inboxCalls),
+		done:    make(chan struct{}),
+	}, nil
+}
+
+// Drain makes the backend server announce that it leaves.
+func (s *Server) Drain() {
+	s.do(func(now time.Time) {
+		s.table.Drain(now)
+		s.announce = time.Time{}
+	})
+}
+
+// TurnCold makes the backend server cold without an announcement.
+func (s *Server) TurnCold() { s.do(s.table.TurnCold) }
+
+// do runs a call on the goroutine that owns the table.
+func (s *Server) do(call func(now time.Time)) {
+	select {
+	case s.calls <- call:
+	case <-s.done:
+	}
+}
+
+// Run serves until ctx ends and returns what the backend server saw.
+func (s *Server) Run(ctx context.Context) (Stats, []string) {
+	defer close(s.done)
+	httpServer := &http.Server{
+		Handler:           http.HandlerFunc(s.serveRequest),
+		ReadHeaderTimeout: readTimeout,
+	}
+	go func() { _ = httpServer.Serve(s.web) }() // It ends with Close.
+	go s.readPackets()
+	defer httpServer.Close()
+	defer s.packets.Close()
+	for {
+		tick, release := s.config.Clock.After(tickEvery)
+		if !s.takeUntil(ctx, tick) {
+			release()
+			return s.table.Stats(), s.table.Keys()
+		}
+		now := s.config.Clock.Now()
+		s.table.Tick(now)
+		s.tell(now)
+	}
+}
+
+func (s *Server) takeUntil(ctx context.Context, tick <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick:
+			return true
+		case call := <-s.calls:
+			call(s.config.Clock.Now())
+		}
+	}
+}
+
+func (s *Server) readPackets() {
+	buffer := make([]byte, mostBytes)
+	for {
+		n, _, err := s.packets.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // An ICMP error of an earlier write; the socket still works.
+		}
+		segment, err := zfsegment.Decode(buffer[:n])
+		if err != nil {
+			continue
+		}
+		segment.Payload = nil
+		s.do(func(now time.Time) { s.answer(segment, now) })
+	}
+}
+
+func (s *Server) answer(segment zfsegment.Segment, now time.Time) {
+	out, ok := s.table.Packet(segment, now)
+	if !ok {
+		return
+	}
+	data, err := out.Encode()
+	if err != nil {
+		return
+	}
+	// A lost answer is the caller's to ask for again.
+	_, _ = s.packets.WriteToUDPAddrPort(data, s.config.Topology.Callers)
+}
+
+// tell announces the backend server when that is due.
+func (s *Server) tell(now time.Time) {
+	s.loads = append(s.loads, s.table.Load())
+	if now.Sub(s.announce) < announceEvery || s.table.isFallen(now) {
+		return
+	}
+	s.announce = now
+	s.sequence = max(s.sequence+1, uint64(now.UnixMilli()))
+	text, err := zfdocument.FormatAnnouncement(zf.Announcement{
+		Server:  zf.ServerName(s.server.Name),
+		Service: zf.ServiceName(s.server.Service),
+		Centre:  zf.CentreName(s.server.Centre),
+		Address: s.server.Address,
+		Web:     s.server.Web,
+		Capacity: zf.Capacity{
+			Slots:       s.table.frontend.Slots,
+			Connections: s.table.frontend.Limit,
+		},
+		State:    s.table.State(),
+		Load:     s.reported(),
+		Sequence: s.sequence,
+	})
+	if err != nil {
+		return
+	}
+	signed, err := s.config.Signer.Sign(text)
+	if err != nil {
+		return
+	}
+	// A lost announcement is followed by the next one.
+	_, _ = s.packets.WriteToUDPAddrPort(signed, s.config.Topology.Announce)
+}
+
+// reported returns the load that the backend server tells.
+func (s *Server) reported() float64 {
+	back := int(s.config.Lag / tickEvery)
+	switch {
+	case s.config.Lie == LieZero:
+		return 0
+	case s.config.Lie == LieFull:
+		return 1
+	case s.config.Lie == LieStuck:
+		return s.loads[0]
+	case back >= len(s.loads):
+		return 0
+	default:
+		return s.loads[len(s.loads)-1-back]
+	}
+}
+
+// serveRequest runs one request in a slot.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, mostBody))
+	if err != nil {
+		return
+	}
+	began := make(chan bool, 1)
+	s.do(func(now time.Time) { began <- s.table.Begin(r.Header.Get("Idempotency-Key"), now) })
+	select {
+	case ok := <-began:
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	case <-s.done:
+		return
+	}
+	defer s.do(func(time.Time) { s.table.End() })
+	work, release := s.config.Clock.After(s.work(r))
+	defer release()
+	select {
+	case <-work:
+	case <-r.Context().Done():
+		return
+	}
+	text := fmt.Sprintf("%s %s %s", s.server.Name, r.Header.Get("Idempotency-Key"), body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = io.WriteString(w, text) // The asker may be gone.
+}
+
+// work returns how long a request takes; the query may say.
+func (s *Server) work(r *http.Request) time.Duration {
+	if asked, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
+		return asked
+	}
+	return defaultWork
+}
--- /dev/null
+++ b/lab/zfbackend/table.go
@@ -0,0 +1,235 @@
+// Package zfbackend stands in for a backend server: it announces itself, holds
+// connections, runs requests in its slots, drains, starts cold, falls over
+// under load that it can't bear yet, and records what it ran.
+package zfbackend
+
+import (
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/lab/zfsegment"
+	"zinniafront/lab/zftopology"
+)
+
+const (
+	// coldFor is how long a cold backend server stays cold.
+	coldFor = 5 * time.Second
+	// coldOpens is how many connections it bears opening in one second then.
+	coldOpens = 6
+	// fallenFor is how long it answers nothing after falling over.
+	fallenFor = 3 * time.Second
+	// idle is how long a connection without packets is kept.
+	idle = time.Minute
+)
+
+// Stats is what a backend server saw, written at its end.
+type Stats struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	Centre  string `json:"centre"`
+	Opened  int    `json:"opened"`
+	Closed  int    `json:"closed"`
+	Held    int    `json:"held"`
+	Most    int    `json:"most"`
+	// Foreign counts packets for another service, Unknown those of no
+	// connection, Late openings after the drain notice had time to spread.
+	Foreign int `json:"foreign"`
+	Unknown int `json:"unknown"`
+	Late    int `json:"late"`
+	Falls   int `json:"falls"`
+	// Runs counts requests run, Doubled those with a key that ran before.
+	Runs    int `json:"runs"`
+	Doubled int `json:"doubled"`
+	// MostSlots is the highest number of requests at the same time, Over how
+	// many came while all slots were taken.
+	MostSlots int `json:"slots"`
+	Over      int `json:"over"`
+	// LastPacket is when the last packet came in, in Unix milliseconds.
+	LastPacket int64 `json:"last"`
+}
+
+// lateAfter is how long openings may go on after a drain began.
+const lateAfter = 3 * time.Second
+
+// Table holds the connections and requests of one backend server. It belongs
+// to the control goroutine.
+type Table struct {
+	server   zftopology.Server
+	frontend *zftopology.Service
+	conns    map[zf.Flow]time.Time
+	keys     map[string]bool
+	running  int
+	state    zf.ServerState
+	cold     time.Time
+	fallen   time.Time
+	drained  time.Time
+	opens    int
+	opensAt  time.Time
+	stats    Stats
+}
+
+// NewTable returns the table of a backend server.
+func NewTable(server zftopology.Server, frontend *zftopology.Service, state zf.ServerState, now time.Time) *Table {
+	t := &Table{
+		server:   server,
+		frontend: frontend,
+		conns:    make(map[zf.Flow]time.Time),
+		keys:     make(map[string]bool),
+		state:    state,
+		stats: Stats{
+			Server:  server.Name,
+			Service: server.Service,
+			Centre:  server.Centre,
+		},
+	}
+	if state == zf.ServerCold {
+		t.cold = now
+	}
+	return t
+}
+
+// Drain makes the backend server announce that it leaves.
+func (t *Table) Drain(now time.Time) {
+	t.state = zf.ServerDraining
+	t.drained = now
+}
+
+// TurnCold makes the backend server cold without an announcement.
+func (t *Table) TurnCold(now time.Time) { t.cold = now }
+
+func (t *Table) isCold(now time.Time) bool {
+	return !t.cold.IsZero() && now.Sub(t.cold) < coldFor
+}
+
+func (t *Table) isFallen(now time.Time) bool {
+	return !t.fallen.IsZero() && now.Sub(t.fallen) < fallenFor
+}
+
+// Tick forgets idle connections and ends a cold start.
+func (t *Table) Tick(now time.Time) {
+	for flow, last := range t.conns {
+		if now.Sub(last) >= idle {
+			delete(t.conns, flow)
+		}
+	}
+	if t.state == zf.ServerCold && !t.isCold(now) && !t.isFallen(now) {
+		t.state = zf.ServerWarm
+	}
+}
+
+// Packet takes one packet and returns the answer to it, if there is one.
+func (t *Table) Packet(in zfsegment.Segment, now time.Time) (zfsegment.Segment, bool) {
+	t.stats.LastPacket = now.UnixMilli()
+	if t.isFallen(now) {
+		return zfsegment.Segment{}, false
+	}
+	out := zfsegment.Segment{
+		Source:      in.Destination,
+		Destination: in.Source,
+		ACK:         true,
+		Number:      in.Number,
+		Payload:     []byte(t.server.Name),
+	}
+	if in.Destination != t.frontend.Frontend {
+		t.stats.Foreign++
+		out.RST = true
+		return out, true
+	}
+	if in.SYN {
+		return t.open(in, out, now)
+	}
+	flow := in.Flow()
+	if _, ok := t.conns[flow]; !ok {
+		if in.RST {
+			return zfsegment.Segment{}, false
+		}
+		t.stats.Unknown++
+		out.RST = !in.FIN
+		out.FIN = in.FIN
+		return out, true
+	}
+	t.conns[flow] = now
+	if in.FIN || in.RST {
+		delete(t.conns, flow)
+		t.stats.Closed++
+		out.FIN = true
+	}
+	return out, !in.RST
+}
+
+func (t *Table) open(in, out zfsegment.Segment, now time.Time) (zfsegment.Segment, bool) {
+	out.SYN = true
+	flow := in.Flow()
+	if _, ok := t.conns[flow]; ok {
+		return out, true // A repetition; the first answer was lost.
+	}
+	if t.state == zf.ServerDraining && now.Sub(t.drained) > lateAfter {
+		t.stats.Late++
+	}
+	if now.Sub(t.opensAt) >= time.Second {
+		t.opensAt = now
+		t.opens = 0
+	}
+	t.opens++
+	if t.isCold(now) && t.opens > coldOpens {
+		t.fall(now)
+		return zfsegment.Segment{}, false
+	}
+	t.conns[flow] = now
+	t.stats.Opened++
+	t.stats.Most = max(t.stats.Most, len(t.conns))
+	return out, true
+}
+
+// fall loses every connection and stops answering for a while.
+func (t *Table) fall(now time.Time) {
+	t.fallen = now
+	t.cold = now
+	t.stats.Falls++
+	clear(t.conns)
+}
+
+// Begin starts a request; it reports whether there is a slot for it.
+func (t *Table) Begin(key string, now time.Time) bool {
+	if t.isFallen(now) || t.running >= t.frontend.Slots {
+		t.stats.Over++
+		return false
+	}
+	t.running++
+	t.stats.MostSlots = max(t.stats.MostSlots, t.running)
+	t.stats.Runs++
+	if key != "" && t.keys[key] {
+		t.stats.Doubled++
+	}
+	t.keys[key] = true
+	return true
+}
+
+// End ends a request.
+func (t *Table) End() { t.running-- }
+
+// Keys returns the keys of the requests that ran.
+func (t *Table) Keys() []string {
+	keys := make([]string, 0, len(t.keys))
+	for key := range t.keys {
+		if key != "" {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Load returns the share of capacity in use.
+func (t *Table) Load() float64 {
+	return min(1, max(float64(t.running)/float64(t.frontend.Slots), float64(len(t.conns))/float64(t.frontend.Limit)))
+}
+
+// State returns what the backend server announces.
+func (t *Table) State() zf.ServerState { return t.state }
+
+// Stats returns what the backend server saw.
+func (t *Table) Stats() Stats {
+	stats := t.stats
+	stats.Held = len(t.conns)
+	return stats
+}
--- /dev/null
+++ b/lab/zfcaller/callers.go
@@ -0,0 +1,177 @@
+package zfcaller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	zf "zinniafront"
+	"zinniafront/lab/zfsegment"
+	"zinniafront/lab/zftopology"
+)
+
+// ExcusedFile lists, a line each, the backend servers that an event killed and
+// the data centres that it took out.
+const ExcusedFile = "excused"
+
+const (
+	tickEvery     = 20 * time.Millisecond
+	reportEvery   = 500 * time.Millisecond
+	inboxSegments = 65536
+	mostBytes     = 64 << 10
+	bufferBytes   = 8 << 20
+)
+
+// Report is what all callers saw.
+type Report struct {
+	Flows    Stats        `json:"flows"`
+	Requests RequestStats `json:"requests"`
+}
+
+// RunConfig holds what the callers are built from.
+type RunConfig struct {
+	Folder   string
+	Topology *zftopology.Topology
+	Clock    zf.Clock
+	Rate     int
+	Life     time.Duration
+	Requests int
+}
+
+// Callers hold flows and send requests.
+type Callers struct {
+	config  RunConfig
+	conn    *net.UDPConn
+	table   *Table
+	inbox   chan zfsegment.Segment
+	excused map[string]bool
+}
+
+// Listen opens the socket that gets the answers.
+func Listen(config RunConfig) (*Callers, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(config.Topology.Callers))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for answers")
+	}
+	_ = conn.SetReadBuffer(bufferBytes) // The system may grant less.
+	c := &Callers{
+		config:  config,
+		conn:    conn,
+		inbox:   make(chan zfsegment.Segment, inboxSegments),
+		excused: make(map[string]bool),
+	}
+	c.table = NewTable(Config{
+		Topology: config.Topology,
+		Random:   rand.New(rand.NewPCG(config.Topology.Seed, 3)),
+		Rate:     config.Rate,
+		Life:     config.Life,
+		Excused:  c.isExcused,
+		Start:    config.Clock.Now(),
+	})
+	return c, nil
+}
+
+func (c *Callers) isExcused(server string) bool {
+	if c.excused[server] {
+		return true
+	}
+	found := c.config.Topology.Find(server)
+	return found != nil && c.excused[found.Centre]
+}
+
+// Run runs until ctx ends and returns what the callers saw. While it runs it
+// keeps the file progress.json up to date.
+func (c *Callers) Run(ctx context.Context) Report {
+	sender := NewSender(RequestConfig{
+		Topology: c.config.Topology,
+		Random:   rand.New(rand.NewPCG(c.config.Topology.Seed, 4)),
+		Clock:    c.config.Clock,
+		Rate:     c.config.Requests,
+	})
+	requests := make(chan RequestStats, 1)
+	go func() { requests <- sender.Run(ctx) }()
+	go c.read()
+	defer c.conn.Close()
+	reported := time.Time{}
+	for {
+		tick, release := c.config.Clock.After(tickEvery)
+		if !c.takeUntil(ctx, tick) {
+			release()
+			break
+		}
+		now := c.config.Clock.Now()
+		c.send(c.table.Tick(now))
+		if now.Sub(reported) >= reportEvery {
+			reported = now
+			c.readExcused()
+			// The next report follows soon.
+			_ = zftopology.Write(c.config.Folder, "progress.json", c.table.Stats())
+		}
+	}
+	return Report{
+		Flows:    c.table.Stats(),
+		Requests: <-requests,
+	}
+}
+
+func (c *Callers) takeUntil(ctx context.Context, tick <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick:
+			return true
+		case segment := <-c.inbox:
+			c.table.Receive(segment, c.config.Clock.Now())
+		}
+	}
+}
+
+func (c *Callers) read() {
+	buffer := make([]byte, mostBytes)
+	for {
+		n, _, err := c.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // An ICMP error of an earlier write; the socket still works.
+		}
+		segment, err := zfsegment.Decode(buffer[:n])
+		if err != nil {
+			continue
+		}
+		segment.Payload = append([]byte(nil), segment.Payload...)
+		select {
+		case c.inbox <- segment:
+		default: // A lost answer is asked for again.
+		}
+	}
+}
+
+func (c *Callers) send(segments []zfsegment.Segment) {
+	for _, segment := range segments {
+		data, err := segment.Encode()
+		if err != nil {
+			continue
+		}
+		// A lost packet is sent again.
+		_, _ = c.conn.WriteToUDPAddrPort(data, c.config.Topology.Fabric)
+	}
+}
+
+func (c *Callers) readExcused() {
+	text, err := os.ReadFile(filepath.Join(c.config.Folder, ExcusedFile))
+	if err != nil {
+		return
+	}
+	for name := range strings.FieldsSeq(string(text)) {
+		c.excused[name] = true
+	}
+}
--- /dev/null
+++ b/lab/zfcaller/request.go
@@ -0,0 +1,170 @@
+package zfcaller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/lab/zftopology"
+)
+
+// RequestStats counts what the callers saw of requests.
+type RequestStats struct {
+	Sent int `json:"sent"`
+	Done int `json:"done"`
+	// Refused counts refusals that say "not run", by type, Unknown the answers
+	// that leave the outcome open, Failed requests without any answer.
+	Refused map[string]int `json:"refused"`
+	Unknown map[string]int `json:"unknown"`
+	Failed  int            `json:"failed"`
+	// Crossed counts answers that were not the request's own.
+	Crossed int `json:"crossed"`
+	// NotRun and Ran hold the keys of requests that were refused for good and
+	// of those that were answered.
+	NotRun []string `json:"notrun"`
+	Ran    []string `json:"ran"`
+}
+
+const (
+	requestTimeout = 12 * time.Second
+	mostAnswer     = 1 << 20
+)
+
+// RequestConfig holds what a sender is built from.
+type RequestConfig struct {
+	Topology *zftopology.Topology
+	Random   zf.Random
+	Clock    zf.Clock
+	// Rate is the number of requests each second.
+	Rate int
+}
+
+// Sender sends requests to the fronts of random instances.
+type Sender struct {
+	config RequestConfig
+	client *http.Client
+	mutex  sync.Mutex
+	stats  RequestStats
+}
+
+// NewSender returns a sender.
+func NewSender(config RequestConfig) *Sender {
+	return &Sender{
+		config: config,
+		client: &http.Client{
+			Timeout: requestTimeout,
+		},
+		stats: RequestStats{
+			Refused: make(map[string]int),
+			Unknown: make(map[string]int),
+		},
+	}
+}
+
+// Run sends until ctx ends, then waits for the answers.
+func (s *Sender) Run(ctx context.Context) RequestStats {
+	var running sync.WaitGroup
+	pause := time.Second / time.Duration(max(1, s.config.Rate))
+	for n := 0; ctx.Err() == nil && s.config.Rate > 0; n++ {
+		service := &s.config.Topology.Services[n%len(s.config.Topology.Services)]
+		first := s.config.Random.IntN(len(s.config.Topology.Instances))
+		running.Go(func() { s.send(service, n, first) })
+		wake, release := s.config.Clock.After(pause)
+		select {
+		case <-wake:
+		case <-ctx.Done():
+		}
+		release()
+	}
+	running.Wait()
+	return s.stats
+}
+
+// send sends one request; an instance that can't be reached is passed by.
+func (s *Sender) send(service *zftopology.Service, n, first int) {
+	key := fmt.Sprintf("%s-%d", service.Name, n)
+	token := fmt.Sprintf("token-%d", n)
+	s.count(func(stats *RequestStats) { stats.Sent++ })
+	instances := s.config.Topology.Instances
+	for i := range instances {
+		front := instances[(first+i)%len(instances)].Front
+		request, err := http.NewRequest(http.MethodPost, "http://"+front.String()+"/order", strings.NewReader(token))
+		if err != nil {
+			break
+		}
+		request.Host = service.Name
+		if service.Once {
+			request.Header.Set("Idempotency-Key", key)
+		}
+		response, err := s.client.Do(request)
+		if err != nil && strings.Contains(err.Error(), "connection refused") {
+			continue
+		}
+		if err != nil {
+			break
+		}
+		s.judge(service, key, token, response)
+		return
+	}
+	s.count(func(stats *RequestStats) { stats.Failed++ })
+}
+
+// judge compares an answer with its request.
+func (s *Sender) judge(service *zftopology.Service, key, token string, response *http.Response) {
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer))
+	if err != nil {
+		s.count(func(stats *RequestStats) { stats.Failed++ })
+		return
+	}
+	if response.Header.Get("Content-Type") == "application/problem+json" {
+		s.refused(service, key, body)
+		return
+	}
+	s.count(func(stats *RequestStats) {
+		switch {
+		case response.StatusCode != http.StatusOK:
+			stats.Unknown[fmt.Sprintf("status %d", response.StatusCode)]++
+		case !strings.HasSuffix(string(body), " "+token):
+			stats.Crossed++
+		default:
+			stats.Done++
+			if service.Once {
+				stats.Ran = append(stats.Ran, key)
+			}
+		}
+	})
+}
+
+func (s *Sender) refused(service *zftopology.Service, key string, body []byte) {
+	var problem struct {
+		Type string `json:"type"`
+		Run  string `json:"run"`
+	}
+	if err := json.Unmarshal(body, &problem); err != nil {
+		s.count(func(stats *RequestStats) { stats.Failed++ })
+		return
+	}
+	s.count(func(stats *RequestStats) {
+		if problem.Run != "no" {
+			stats.Unknown[problem.Type]++
+			return
+		}
+		stats.Refused[problem.Type]++
+		if service.Once {
+			stats.NotRun = append(stats.NotRun, key)
+		}
+	})
+}
+
+func (s *Sender) count(change func(*RequestStats)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(&s.stats)
+}
--- /dev/null
+++ b/lab/zflabcmd/run.go
@@ -0,0 +1,212 @@
+package zflabcmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/io/command/zfcmd"
+	"zinniafront/io/zfkey"
+	"zinniafront/lab/zfbackend"
+	"zinniafront/lab/zfcaller"
+	"zinniafront/lab/zffabric"
+	"zinniafront/lab/zfreport"
+	"zinniafront/lab/zftopology"
+)
+
+// untilStopped returns a context that ends with SIGTERM or SIGINT.
+func untilStopped() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// FabricOptions are the flags of fabric.
+type FabricOptions struct {
+	Dir string `name:"dir" required:"" help:"Folder of the run."`
+
+	clock zf.Clock
+}
+
+// Run runs the command.
+func (o *FabricOptions) Run(f *zfcmd.Factory) error {
+	o.clock = f.Clock
+	return fabricRun(o)
+}
+
+func fabricRun(o *FabricOptions) error {
+	topology, err := zftopology.Read(o.Dir)
+	if err != nil {
+		return err
+	}
+	fabric, err := zffabric.Listen(topology, o.clock)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilStopped()
+	defer cancel()
+	return zftopology.Write(o.Dir, "fabric.json", fabric.Run(ctx))
+}
+
+// BackendOptions are the flags of backend.
+type BackendOptions struct {
+	Dir  string        `name:"dir" required:"" help:"Folder of the run."`
+	Name string        `name:"name" required:"" help:"Name of the backend server."`
+	Cold bool          `name:"cold" help:"Start cold."`
+	Lie  zfbackend.Lie `name:"lie" enum:"none,zero,full,stuck" default:"none" help:"How to report load: none, zero, full or stuck."`
+	Lag  time.Duration `name:"lag" default:"0s" help:"How old the reported load is."`
+
+	clock zf.Clock
+}
+
+// Help returns what signals do.
+func (*BackendOptions) Help() string {
+	return "SIGUSR1 makes the backend server drain, SIGUSR2 turn cold unannounced, SIGTERM write what it saw and end."
+}
+
+// Run runs the command.
+func (o *BackendOptions) Run(f *zfcmd.Factory) error {
+	o.clock = f.Clock
+	return backendRun(o)
+}
+
+func backendRun(o *BackendOptions) error {
+	topology, err := zftopology.Read(o.Dir)
+	if err != nil {
+		return err
+	}
+	key, err := zfkey.ReadShared(filepath.Join(o.Dir, announceKeyFile))
+	if err != nil {
+		return err
+	}
+	state := zf.ServerWarm
+	if o.Cold {
+		state = zf.ServerCold
+	}
+	server, err := zfbackend.Listen(zfbackend.Config{
+		Topology: topology,
+		Name:     o.Name,
+		State:    state,
+		Lie:      o.Lie,
+		Lag:      o.Lag,
+		Signer:   key,
+		Clock:    o.clock,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilStopped()
+	defer cancel()
+	switches := make(chan os.Signal, 4)
+	signal.Notify(switches, syscall.SIGUSR1, syscall.SIGUSR2)
+	go func() {
+		for next := range switches {
+			if next == syscall.SIGUSR1 {
+				server.Drain()
+			} else {
+				server.TurnCold()
+			}
+		}
+	}()
+	stats, keys := server.Run(ctx)
+	return zftopology.Write(o.Dir, "server-"+o.Name+".json", zfreport.Server{
+		Stats: stats,
+		Keys:  keys,
+	})
+}
+
+// CallerOptions are the flags of caller.
+type CallerOptions struct {
+	Dir      string        `name:"dir" required:"" help:"Folder of the run."`
+	Rate     int           `name:"rate" default:"60" help:"Flows opened each second."`
+	Life     time.Duration `name:"life" default:"20s" help:"Mean lifetime of a flow."`
+	Requests int           `name:"requests" default:"40" help:"Requests each second."`
+
+	clock zf.Clock
+}
+
+// Run runs the command.
+func (o *CallerOptions) Run(f *zfcmd.Factory) error {
+	o.clock = f.Clock
+	return callerRun(o)
+}
+
+func callerRun(o *CallerOptions) error {
+	topology, err := zftopology.Read(o.Dir)
+	if err != nil {
+		return err
+	}
+	callers, err := zfcaller.Listen(zfcaller.RunConfig{
+		Folder:   o.Dir,
+		Topology: topology,
+		Clock:    o.clock,
+		Rate:     o.Rate,
+		Life:     o.Life,
+		Requests: o.Requests,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilStopped()
+	defer cancel()
+	return zftopology.Write(o.Dir, "caller.json", callers.Run(ctx))
+}
+
+// CollectOptions are the flags of collect.
+type CollectOptions struct {
+	Dir string `name:"dir" required:"" help:"Folder of the run."`
+}
+
+// Run runs the command.
+func (o *CollectOptions) Run(*zfcmd.Factory) error {
+	topology, err := zftopology.Read(o.Dir)
+	if err != nil {
+		return err
+	}
+	zfreport.Collect(o.Dir, topology)
+	return nil
+}
+
+// ReportOptions are the flags of report.
+type ReportOptions struct {
+	Dir     string        `name:"dir" required:"" help:"Folder of the run."`
+	Events  string        `name:"events" help:"Events of the run, separated by commas."`
+	Elapsed time.Duration `name:"elapsed" required:"" help:"How long the instances ran."`
+	JSON    bool          `name:"json" help:"Print one JSON document."`
+
+	streams zfcmd.Streams
+}
+
+// Run runs the command.
+func (o *ReportOptions) Run(f *zfcmd.Factory) error {
+	o.streams = f.Streams
+	return reportRun(o)
+}
+
+func reportRun(o *ReportOptions) error {
+	topology, err := zftopology.Read(o.Dir)
+	if err != nil {
+		return err
+	}
+	report, err := zfreport.Make(zfreport.Config{
+		Folder:   o.Dir,
+		Topology: topology,
+		Events:   strings.FieldsFunc(o.Events, func(r rune) bool { return r == ',' }),
+		Elapsed:  o.Elapsed,
+	})
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		err = o.streams.PrintJSON(report)
+	} else {
+		o.streams.Printf("%s", report)
+	}
+	if err == nil && len(report.Promises) > 0 {
+		return errPromise
+	}
+	return err
+}
--- /dev/null
+++ b/lab/zfreport/report.go
@@ -0,0 +1,333 @@
+// Package zfreport turns what the processes of a run saw into the users'
+// measures, and decides whether a promise was broken.
+package zfreport
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"zinniafront/lab/zfbackend"
+	"zinniafront/lab/zfcaller"
+	"zinniafront/lab/zftopology"
+)
+
+// Report is the outcome of one run.
+type Report struct {
+	Bundle string   `json:"bundle"`
+	Seed   uint64   `json:"seed"`
+	Events []string `json:"events"`
+	// Promises lists the promises of the brief that were broken.
+	Promises  []string                  `json:"promises"`
+	Flows     zfcaller.Stats            `json:"flows"`
+	Imbalance map[string]float64        `json:"imbalance"`
+	Service   Service                   `json:"service"`
+	Requests  Requests                  `json:"requests"`
+	Servers   []zfbackend.Stats         `json:"servers"`
+	Control   map[string]float64        `json:"control"`
+	Counters  map[string]map[string]int `json:"counters"`
+}
+
+// Service tells how openings fared second by second.
+type Service struct {
+	// Least is the lowest share of openings answered over any three seconds,
+	// Overall that of the whole run.
+	Least   float64 `json:"least"`
+	Overall float64 `json:"overall"`
+}
+
+// Requests tells how requests fared.
+type Requests struct {
+	Sent    int            `json:"sent"`
+	Done    int            `json:"done"`
+	Refused map[string]int `json:"refused"`
+	Unknown map[string]int `json:"unknown"`
+	Failed  int            `json:"failed"`
+	Doubled int            `json:"doubled"`
+	Lost    int            `json:"lost"`
+	Crossed int            `json:"crossed"`
+	Untrue  int            `json:"untrue"`
+	Over    int            `json:"over"`
+}
+
+// Config holds what a report is made from.
+type Config struct {
+	Folder   string
+	Topology *zftopology.Topology
+	Events   []string
+	// Elapsed is how long the callers ran.
+	Elapsed time.Duration
+}
+
+func readDocument(folder, name string, target any) error {
+	text, err := os.ReadFile(filepath.Join(folder, name))
+	if err != nil {
+		return errors.Wrap(err, "read document")
+	}
+	return errors.Wrap(json.Unmarshal(text, target), "decode document")
+}
+
+// Server is the file that a backend server leaves.
+type Server struct {
+	Stats zfbackend.Stats `json:"stats"`
+	Keys  []string        `json:"keys"`
+}
+
+// Make reads the files of a run and returns its report.
+func Make(config Config) (*Report, error) {
+	var callers zfcaller.Report
+	if err := readDocument(config.Folder, "caller.json", &callers); err != nil {
+		return nil, err
+	}
+	report := &Report{
+		Bundle:    config.Topology.Bundle,
+		Seed:      config.Topology.Seed,
+		Events:    config.Events,
+		Promises:  make([]string, 0),
+		Flows:     callers.Flows,
+		Imbalance: make(map[string]float64),
+		Control:   make(map[string]float64),
+		Counters:  make(map[string]map[string]int),
+	}
+	ran, err := report.readServers(config)
+	if err != nil {
+		return nil, err
+	}
+	report.readCounters(config)
+	report.balance()
+	report.Service = serviceOf(callers.Flows.Seconds)
+	report.judgeRequests(callers.Requests, ran)
+	report.judge()
+	return report, nil
+}
+
+// readServers reads what the backend servers saw, and returns how often each
+// key ran. One that was killed left no file.
+func (r *Report) readServers(config Config) (map[string]int, error) {
+	ran := make(map[string]int)
+	for _, server := range config.Topology.Servers {
+		var file Server
+		err := readDocument(config.Folder, "server-"+server.Name+".json", &file)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		r.Servers = append(r.Servers, file.Stats)
+		for _, key := range file.Keys {
+			ran[key]++
+		}
+	}
+	return ran, nil
+}
+
+// readCounters reads the counters that Collect left.
+func (r *Report) readCounters(config Config) {
+	for _, instance := range config.Topology.Instances {
+		counters := make(map[string]struct {
+			Count int `json:"count"`
+		})
+		if err := readDocument(config.Folder, "metrics-"+instance.Name+".json", &counters); err != nil {
+			continue // The instance was killed.
+		}
+		values := make(map[string]int)
+		for name, counter := range counters {
+			if counter.Count != 0 {
+				values[name] = counter.Count
+			}
+		}
+		r.Counters[instance.Name] = values
+		if config.Elapsed > 0 {
+			r.Control[instance.Name] = float64(values["control.bytes"]) / config.Elapsed.Seconds()
+		}
+	}
+}
+
+// balance computes, for each service, the highest number of connections opened
+// over the mean, among servers that were there from start to end.
+func (r *Report) balance() {
+	opened := make(map[string][]int)
+	for _, server := range r.Servers {
+		if server.Opened > 0 && server.Falls == 0 {
+			opened[server.Service] = append(opened[server.Service], server.Opened)
+		}
+	}
+	for service, counts := range opened {
+		sum := 0
+		for _, count := range counts {
+			sum += count
+		}
+		if sum > 0 {
+			r.Imbalance[service] = float64(slices.Max(counts)) * float64(len(counts)) / float64(sum)
+		}
+	}
+}
+
+// window is the number of seconds that the lowest service is taken over.
+const window = 3
+
+func serviceOf(seconds []zfcaller.Second) Service {
+	service := Service{
+		Least:   1,
+		Overall: 1,
+	}
+	total := zfcaller.Second{}
+	for i := range seconds {
+		sum := zfcaller.Second{}
+		for _, second := range seconds[i:min(i+window, len(seconds))] {
+			sum.Opened += second.Opened
+			sum.Answered += second.Answered
+		}
+		if i+window <= len(seconds) && sum.Opened > 0 {
+			service.Least = min(service.Least, float64(sum.Answered)/float64(sum.Opened))
+		}
+		total.Opened += seconds[i].Opened
+		total.Answered += seconds[i].Answered
+	}
+	if total.Opened > 0 {
+		service.Overall = min(1, float64(total.Answered)/float64(total.Opened))
+	}
+	return service
+}
+
+func (r *Report) judgeRequests(seen zfcaller.RequestStats, ran map[string]int) {
+	r.Requests = Requests{
+		Sent:    seen.Sent,
+		Done:    seen.Done,
+		Refused: seen.Refused,
+		Unknown: seen.Unknown,
+		Failed:  seen.Failed,
+		Crossed: seen.Crossed,
+	}
+	for _, server := range r.Servers {
+		r.Requests.Doubled += server.Doubled
+		r.Requests.Over += server.Over
+	}
+	for _, times := range ran {
+		r.Requests.Doubled += times - 1
+	}
+	for _, key := range seen.NotRun {
+		if ran[key] > 0 {
+			r.Requests.Untrue++
+		}
+	}
+	r.Requests.Lost = seen.Sent - seen.Done - seen.Failed - seen.Crossed - sum(seen.Refused) - sum(seen.Unknown)
+}
+
+func sum(counts map[string]int) int {
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
+
+// judge lists the promises that were broken.
+func (r *Report) judge() {
+	check := func(broken bool, format string, args ...any) {
+		if broken {
+			r.Promises = append(r.Promises, fmt.Sprintf(format, args...))
+		}
+	}
+	broken := 0
+	for _, count := range r.Flows.Broken {
+		broken += count
+	}
+	foreign, late, falls := 0, 0, 0
+	for _, server := range r.Servers {
+		foreign += server.Foreign
+		late += server.Late
+		falls += server.Falls
+	}
+	check(r.Flows.Opened == 0, "no flow was opened")
+	check(broken > 0, "%d established flow(s) broke", broken)
+	check(foreign > 0 || r.Flows.Wrong > 0, "%d packet(s) reached a wrong service", foreign+r.Flows.Wrong)
+	check(late > 0, "%d flow(s) opened at a leaving backend server after 3s", late)
+	check(falls > 0, "%d cold backend server(s) fell over", falls)
+	check(r.Requests.Crossed > 0, "%d answer(s) crossed", r.Requests.Crossed)
+	check(r.Requests.Doubled > 0, "%d request(s) ran twice", r.Requests.Doubled)
+	check(r.Requests.Lost > 0, "%d request(s) without an outcome", r.Requests.Lost)
+	check(r.Requests.Untrue > 0, "%d refusal(s) said \"not run\" of a request that ran", r.Requests.Untrue)
+}
+
+// Collect writes the present counters of every instance into the run's folder.
+func Collect(folder string, topology *zftopology.Topology) {
+	client := &http.Client{
+		Timeout: time.Second,
+	}
+	for _, instance := range topology.Instances {
+		response, err := client.Get("http://" + instance.Admin.String() + "/metrics")
+		if err != nil {
+			continue // The instance was killed.
+		}
+		var counters map[string]any
+		if err := json.NewDecoder(response.Body).Decode(&counters); err == nil {
+			_ = zftopology.Write(folder, "metrics-"+instance.Name+".json", counters) // Make skips a missing file.
+		}
+		_ = response.Body.Close()
+	}
+}
+
+// String returns the report for a terminal.
+func (r *Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "bundle %s, seed %d, events %v\n", r.Bundle, r.Seed, r.Events)
+	fmt.Fprintf(&b, "flows: opened %d, broken %v, lost with their server or data centre %d, refused %d, held %d, resent packets %d of %d\n",
+		r.Flows.Opened, r.Flows.Broken, r.Flows.Lost, r.Flows.Refused, r.Flows.Held, r.Flows.Resent, r.Flows.Packets)
+	fmt.Fprintf(&b, "imbalance (max over mean): %v\n", r.Imbalance)
+	fmt.Fprintf(&b, "service: openings answered %.4f of all, %.4f in the worst %d s\n", r.Service.Overall, r.Service.Least, window)
+	fmt.Fprintf(&b, "requests: sent %d, done %d, refused %v, unknown %v, failed %d, doubled %d, lost %d, crossed %d, untrue refusals %d, over a server's slots %d\n",
+		r.Requests.Sent, r.Requests.Done, r.Requests.Refused, r.Requests.Unknown, r.Requests.Failed,
+		r.Requests.Doubled, r.Requests.Lost, r.Requests.Crossed, r.Requests.Untrue, r.Requests.Over)
+	for _, name := range sorted(r.Control) {
+		fmt.Fprintf(&b, "control bytes a second, %s: %.0f\n", name, r.Control[name])
+	}
+	for _, name := range r.instances() {
+		fmt.Fprintf(&b, "counters, %s: %s\n", name, line(r.Counters[name]))
+	}
+	if len(r.Promises) == 0 {
+		b.WriteString("every promise held\n")
+	}
+	for _, promise := range r.Promises {
+		fmt.Fprintf(&b, "PROMISE BROKEN: %s\n", promise)
+	}
+	return b.String()
+}
+
+func (r *Report) instances() []string {
+	names := make([]string, 0, len(r.Counters))
+	for name := range r.Counters {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func sorted(values map[string]float64) []string {
+	names := make([]string, 0, len(values))
+	for name := range values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// line joins the counters of refusals, drops, relays and retries.
+func line(counters map[string]int) string {
+	parts := make([]string, 0, len(counters))
+	for name, count := range counters {
+		if strings.HasPrefix(name, "packet.") || strings.Contains(name, "refused") || strings.Contains(name, "retried") {
+			parts = append(parts, fmt.Sprintf("%s=%d", name, count))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/lab/zfsegment/segment.go
@@ -0,0 +1,96 @@
+// Package zfsegment makes the TCP segments that stand-ins send to each other.
+package zfsegment
+
+import (
+	"net/netip"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/pkg/errors"
+
+	zf "zinniafront"
+)
+
+// Segment is one TCP segment in an IP packet.
+type Segment struct {
+	Source      netip.AddrPort
+	Destination netip.AddrPort
+	SYN         bool
+	ACK         bool
+	FIN         bool
+	RST         bool
+	// Number counts a flow's data segments; an answer repeats it.
+	Number  uint32
+	Payload []byte
+}
+
+// Flow returns the flow that the segment of a caller belongs to.
+func (s Segment) Flow() zf.Flow {
+	return zf.Flow{
+		Protocol:    zf.ProtocolTCP,
+		Source:      s.Source,
+		Destination: s.Destination,
+	}
+}
+
+const (
+	hops   = 64
+	window = 65535
+)
+
+// Encode returns the IP packet.
+func (s Segment) Encode() ([]byte, error) {
+	ip := &layers.IPv4{
+		Version:  4,
+		TTL:      hops,
+		Protocol: layers.IPProtocolTCP,
+		SrcIP:    s.Source.Addr().AsSlice(),
+		DstIP:    s.Destination.Addr().AsSlice(),
+	}
+	tcp := &layers.TCP{
+		SrcPort: layers.TCPPort(s.Source.Port()),
+		DstPort: layers.TCPPort(s.Destination.Port()),
+		Seq:     s.Number,
+		SYN:     s.SYN,
+		ACK:     s.ACK,
+		FIN:     s.FIN,
+		RST:     s.RST,
+		Window:  window,
+	}
+	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
+		return nil, errors.Wrap(err, "prepare segment")
+	}
+	buffer := gopacket.NewSerializeBuffer()
+	err := gopacket.SerializeLayers(buffer, gopacket.SerializeOptions{
+		FixLengths:       true,
+		ComputeChecksums: true,
+	}, ip, tcp, gopacket.Payload(s.Payload))
+	return buffer.Bytes(), errors.Wrap(err, "encode segment")
+}
+
+// ErrSegment tells that data is not a TCP segment in an IPv4 packet.
+var ErrSegment = errors.New("not a TCP segment")
+
+// Decode reads an IP packet.
+func Decode(data []byte) (Segment, error) {
+	var ip layers.IPv4
+	var tcp layers.TCP
+	found := make([]gopacket.LayerType, 0, 3)
+	parser := gopacket.NewDecodingLayerParser(layers.LayerTypeIPv4, &ip, &tcp)
+	parser.IgnoreUnsupported = true // The port may name a protocol; the payload is not read as such.
+	if err := parser.DecodeLayers(data, &found); err != nil || len(found) < 2 {
+		return Segment{}, ErrSegment
+	}
+	source, _ := netip.AddrFromSlice(ip.SrcIP)
+	destination, _ := netip.AddrFromSlice(ip.DstIP)
+	return Segment{
+		Source:      netip.AddrPortFrom(source, uint16(tcp.SrcPort)),
+		Destination: netip.AddrPortFrom(destination, uint16(tcp.DstPort)),
+		SYN:         tcp.SYN,
+		ACK:         tcp.ACK,
+		FIN:         tcp.FIN,
+		RST:         tcp.RST,
+		Number:      tcp.Seq,
+		Payload:     tcp.Payload,
+	}, nil
+}
--- /dev/null
+++ b/lab/zftopology/topology.go
@@ -0,0 +1,106 @@
+// Package zftopology describes one run of the stand-ins: which processes there
+// are and where each listens.
+package zftopology
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// Topology is one run, as the file lab.json in the run's folder.
+type Topology struct {
+	Bundle string `json:"bundle"`
+	Seed   uint64 `json:"seed"`
+	// Fabric takes the callers' packets, Announce the announcements.
+	Fabric   netip.AddrPort `json:"fabric"`
+	Announce netip.AddrPort `json:"announce"`
+	// Callers gets the backend servers' answers.
+	Callers netip.AddrPort `json:"callers"`
+	// Operator takes commands for the control state.
+	Operator  netip.AddrPort `json:"operator"`
+	Instances []Instance     `json:"instances"`
+	Servers   []Server       `json:"servers"`
+	Services  []Service      `json:"services"`
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	Name     string         `json:"name"`
+	Centre   string         `json:"centre"`
+	Traffic  netip.AddrPort `json:"traffic"`
+	Relay    netip.AddrPort `json:"relay"`
+	Control  netip.AddrPort `json:"control"`
+	Announce netip.AddrPort `json:"announce"`
+	Front    netip.AddrPort `json:"front"`
+	Admin    netip.AddrPort `json:"admin"`
+}
+
+// Server is one backend server.
+type Server struct {
+	Name    string         `json:"name"`
+	Service string         `json:"service"`
+	Centre  string         `json:"centre"`
+	Address netip.AddrPort `json:"address"`
+	Web     netip.AddrPort `json:"web"`
+	// Spare is not started at first.
+	Spare bool `json:"spare"`
+}
+
+// Service is what callers need to know of a service.
+type Service struct {
+	Name     string         `json:"name"`
+	Frontend netip.AddrPort `json:"frontend"`
+	Once     bool           `json:"once"`
+	Slots    int            `json:"slots"`
+	Limit    int            `json:"limit"`
+}
+
+// FileName is the topology's file in the run's folder.
+const FileName = "lab.json"
+
+// Read reads the topology of a run's folder.
+func Read(folder string) (*Topology, error) {
+	text, err := os.ReadFile(filepath.Join(folder, FileName))
+	if err != nil {
+		return nil, errors.Wrap(err, "read topology")
+	}
+	var topology Topology
+	return &topology, errors.Wrap(json.Unmarshal(text, &topology), "decode topology")
+}
+
+// Write writes a document into the run's folder.
+func Write(folder, name string, value any) error {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode document")
+	}
+	path := filepath.Join(folder, name)
+	if err := os.WriteFile(path+".new", append(text, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "write document")
+	}
+	return errors.Wrap(os.Rename(path+".new", path), "replace document")
+}
+
+// Find returns the backend server of a name, or nil.
+func (t *Topology) Find(name string) *Server {
+	for i := range t.Servers {
+		if t.Servers[i].Name == name {
+			return &t.Servers[i]
+		}
+	}
+	return nil
+}
+
+// Frontend returns the service at an address and port, or nil.
+func (t *Topology) Frontend(address netip.AddrPort) *Service {
+	for i := range t.Services {
+		if t.Services[i].Frontend == address {
+			return &t.Services[i]
+		}
+	}
+	return nil
+}
