--- a/core/zfflow/table.go
+++ b/core/zfflow/table.go
@@ -100,6 +100,12 @@
 	return time.Duration(t.stamp(now)-row.confirmed) * time.Second
 }
 
+// ConfirmedAfter reports whether the owner told the row's server in a later
+// second than that of at.
+func (t *Table) ConfirmedAfter(row Row, at time.Time) bool {
+	return row.confirmed > t.stamp(at) || !at.After(t.start)
+}
+
 // Touch returns the row of a flow and notes that a packet came by.
 func (t *Table) Touch(hash uint64, kind zf.PacketKind, now time.Time) (Row, bool) {
 	stamp := t.stamp(now)
@@ -121,11 +127,17 @@
 // Learn sets the row of a flow, seen and confirmed just now. It reports false
 // if the table is full.
 func (t *Table) Learn(hash uint64, row Row, now time.Time) bool {
-	return t.LearnAged(hash, row, 0, now)
+	row.seen = t.stamp(now)
+	row.confirmed = row.seen
+	s := t.shard(hash)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return t.put(s, hash, row)
 }
 
 // LearnAged sets the row of a flow that was confirmed a while ago. It keeps a
-// row that was confirmed later, and any row over a tentative one.
+// row that was confirmed later, and any row over a tentative one. It reports
+// whether the flow's server was news.
 func (t *Table) LearnAged(hash uint64, row Row, age time.Duration, now time.Time) bool {
 	row.seen = t.stamp(now)
 	row.confirmed = row.seen - min(row.seen, uint32(age/time.Second))
@@ -134,8 +146,14 @@
 	defer s.mutex.Unlock()
 	old, ok := s.rows[hash]
 	if ok && old.prevails(row) {
-		return true
+		return false
 	}
+	return t.put(s, hash, row) && (!ok || old.Server != row.Server)
+}
+
+// put sets a row in a locked shard; it reports false if the table is full.
+func (t *Table) put(s *shard, hash uint64, row Row) bool {
+	_, ok := s.rows[hash]
 	if !ok {
 		if t.count.Load() >= t.most && !t.evict(s) {
 			return false
@@ -146,6 +164,40 @@
 	return true
 }
 
+// Replace sets the row of a flow whatever was known of it.
+func (t *Table) Replace(hash uint64, row Row, now time.Time) {
+	t.Forget(hash)
+	t.Learn(hash, row, now)
+}
+
+// LearnCopy sets the row of a flow as its owner told it in a message that may
+// have been on its way for long. If it contradicts the row that is there, both
+// are dropped, so that the owner is asked again.
+func (t *Table) LearnCopy(hash uint64, row Row, now time.Time) {
+	s := t.shard(hash)
+	s.mutex.Lock()
+	old, ok := s.rows[hash]
+	s.mutex.Unlock()
+	if ok && old.Flags&(FlagOwned|FlagTentative) == 0 && old.Server != row.Server {
+		t.Forget(hash)
+		return
+	}
+	if !ok || old.Flags&FlagOwned == 0 {
+		t.Learn(hash, row, now)
+	}
+}
+
+// Forget removes the row of a flow.
+func (t *Table) Forget(hash uint64) {
+	s := t.shard(hash)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, ok := s.rows[hash]; ok {
+		delete(s.rows, hash)
+		t.count.Add(-1)
+	}
+}
+
 // evict drops a copy from a locked shard; a map is visited in random order.
 func (t *Table) evict(s *shard) bool {
 	tries := 0
@@ -162,8 +214,12 @@
 	return false
 }
 
-// prevails reports whether the row is kept when other comes in.
+// prevails reports whether the row is kept when other comes in. What this
+// instance decided itself goes first.
 func (r Row) prevails(other Row) bool {
+	if r.Flags&(FlagOwned|FlagTentative) == FlagOwned {
+		return true
+	}
 	if tentative := r.Flags & FlagTentative; tentative != other.Flags&FlagTentative {
 		return tentative == 0
 	}
--- a/core/zfinstance/world.go
+++ b/core/zfinstance/world.go
@@ -159,7 +159,7 @@
 
 // Ready reports whether the instance may get traffic.
 func (w *World) Ready() bool {
-	return !w.stopping && w.state.Bundle != nil && w.mapper.Synced()
+	return !w.stopping && w.state.Bundle != nil && w.seen.state == w.state.Sequence && w.mapper.Synced()
 }
 
 // Stop begins a planned stop: the instance is no longer ready and hands over
@@ -226,6 +226,7 @@
 		State:   w.state.Sequence,
 		Slots:   w.mapper.Digests(),
 		Servers: w.servers.TakeHeard(),
+		All:     w.servers.All,
 		Ready:   w.Ready(),
 	}
 }
--- a/core/zfmember/system.go
+++ b/core/zfmember/system.go
@@ -62,6 +62,9 @@
 		if row.introduced < introductions {
 			row.introduced++
 			beat.Members = t.addresses(row.Name)
+			if t.introduces(row.Name) {
+				beat.Servers = content.All()
+			}
 		}
 		envelopes = append(envelopes, t.envelope(row.Name, row.Control, beat))
 	}
@@ -96,6 +99,17 @@
 	}
 }
 
+// introduces reports whether this instance is the one that tells a new member
+// of every backend server: the first live one by name.
+func (t *Table) introduces(name zf.InstanceName) bool {
+	for _, row := range t.rows {
+		if row.Name != name && row.Ready && row.State == StateAlive && row.Name < t.config.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) addresses(except zf.InstanceName) []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(t.rows))
 	for _, row := range t.rows {
--- a/core/zfmember/table.go
+++ b/core/zfmember/table.go
@@ -122,7 +122,9 @@
 	State   uint64
 	Slots   []zf.SlotDigest
 	Servers []zf.Announcement
-	Ready   bool
+	// All returns every backend server that is not gone, for new members.
+	All   func() []zf.Announcement
+	Ready bool
 }
 
 // New returns a table without rows.
--- a/core/zfserver/table.go
+++ b/core/zfserver/table.go
@@ -64,16 +64,24 @@
 	rows     []*Row
 	names    map[zf.ServerName]zf.ServerID
 	revision uint64
-	// heard lists the rows with an announcement heard directly and not yet
-	// told to the other instances.
-	heard []zf.ServerID
+	// heard holds the rows with an announcement heard directly, and how often
+	// the other instances are still to be told.
+	heard map[zf.ServerID]int
 }
 
+const (
+	// tellOnce is how often an announcement is passed on, tellNews how often
+	// one with another state is, in case a message gets lost.
+	tellOnce = 1
+	tellNews = 3
+)
+
 // New returns a table without rows.
 func New(config Config) *Table {
 	return &Table{
 		config: config,
 		names:  make(map[zf.ServerName]zf.ServerID),
+		heard:  make(map[zf.ServerID]int),
 	}
 }
 
@@ -109,9 +117,13 @@
 	if row == nil {
 		row = t.insert(a, now)
 	}
+	times := tellOnce
+	if row.Status != a.State {
+		times = tellNews
+	}
 	t.update(row, a, now)
-	if direct && !slices.Contains(t.heard, row.ID) {
-		t.heard = append(t.heard, row.ID)
+	if direct {
+		t.heard[row.ID] = max(t.heard[row.ID], times)
 	}
 	return zf.ReasonNone
 }
@@ -201,13 +213,31 @@
 	}
 }
 
-// TakeHeard returns the announcements heard directly since the last call.
+// TakeHeard returns the announcements that the other instances are to be told
+// of now, by ServerID.
 func (t *Table) TakeHeard() []zf.Announcement {
 	announcements := make([]zf.Announcement, 0, len(t.heard))
-	for _, id := range t.heard {
-		announcements = append(announcements, t.rows[id].Announcement)
+	for _, row := range t.rows {
+		if t.heard[row.ID] == 0 {
+			continue
+		}
+		announcements = append(announcements, row.Announcement)
+		t.heard[row.ID]--
+		if t.heard[row.ID] == 0 {
+			delete(t.heard, row.ID)
+		}
+	}
+	return announcements
+}
+
+// All returns the last announcement of every backend server that is not silent.
+func (t *Table) All() []zf.Announcement {
+	announcements := make([]zf.Announcement, 0, len(t.rows))
+	for _, row := range t.rows {
+		if row.Status != zf.ServerSilent && row.Status != zf.ServerGone {
+			announcements = append(announcements, row.Announcement)
+		}
 	}
-	t.heard = t.heard[:0]
 	return announcements
 }
 
--- a/core/zfslot/assign.go
+++ b/core/zfslot/assign.go
@@ -78,10 +78,13 @@
 		receiver := receiverOf(row, list, byIndex)
 		receiver.count++
 		row.next = receiver.index
+		row.moved = row.base != noServer
 		m.write(t, slot, row, version, now)
 	}
 	for _, slot := range unfinished {
-		m.write(t, slot, t.rows[slot], version, now)
+		row := t.rows[slot]
+		row.moved = row.base != noServer
+		m.write(t, slot, row, version, now)
 	}
 	return append(moving, unfinished...)
 }
--- a/core/zfslot/handover.go
+++ b/core/zfslot/handover.go
@@ -1,6 +1,7 @@
 package zfslot
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,7 +19,7 @@
 )
 
 // handover passes the rows of flows to their new owners after a change of the
-// ready members. A flow needs one only if it is not with its slot's Base.
+// ready members. Only flows of unsettled slots need that.
 type handover struct {
 	batches []*batch
 	number  uint64
@@ -34,10 +35,13 @@
 	rescan bool
 }
 
+// batch is one message of rows that has not been acknowledged.
 type batch struct {
 	to      zf.InstanceName
 	message zf.FlowRows
 	sent    time.Time
+	// copies tells that the rows are for the flows' backups.
+	copies bool
 }
 
 func newHandover() *handover {
@@ -64,11 +68,12 @@
 // adoptOwners divides the flows among the ready members anew and starts the
 // handover that this calls for.
 func (m *Mapper) adoptOwners(now time.Time) {
-	previous := m.owners
+	previous, previousBackups := m.owners, m.backups
 	m.owners = ownersOf(m.view.Members)
 	m.backups = backupsOf(m.view.Members, m.owners)
 	h := m.handover
 	waiting := len(h.awaited) > 0
+	unsent := h.batches
 	h.view = m.digest
 	h.since = now
 	h.batches = nil
@@ -78,42 +83,105 @@
 			h.awaited[member.Name] = true
 		}
 	}
+	owned := *m.owned
 	for b := range m.owners {
-		gained := previous[b] != m.view.Self || waiting && h.gained[b]
+		if previous[b] != m.owners[b] || m.restarted(previous[b]) {
+			owned[b] = now
+		}
+		// A backup has the rows already.
+		gained := previous[b] != m.view.Self && previousBackups[b] != m.view.Self || waiting && h.gained[b]
 		h.gained[b] = m.owners[b] == m.view.Self && gained
 	}
-	m.collect(previous)
+	m.owned = &owned
+	m.requeue(unsent)
+	m.collect(previous, previousBackups)
 	m.incarnations = make(map[zf.InstanceName]uint64, len(m.view.Members))
 	for _, member := range m.view.Members {
 		m.incarnations[member.Name] = member.Incarnation
 	}
 }
 
-// collect queues the rows that owners other than this instance have to get. If
-// the earlier owner still lives, its own rows are enough.
-func (m *Mapper) collect(previous *buckets) {
+// requeue sends the rows of batches that were not acknowledged before the
+// members changed to those who own or back up the flows now.
+func (m *Mapper) requeue(unsent []*batch) {
+	rows, copies := newParcels(), newParcels()
+	for _, b := range unsent {
+		for _, row := range b.message.Rows {
+			if owner := m.owners[bucketOf(row.Hash)]; !b.copies && owner != m.view.Self {
+				rows.add(owner, row)
+			} else if backup := m.backups[bucketOf(row.Hash)]; backup != m.view.Self {
+				copies.add(backup, row)
+			}
+		}
+	}
+	m.dispatch(rows, false)
+	m.dispatch(copies, true)
+}
+
+// parcels holds rows by the instance that has to get them.
+type parcels map[zf.InstanceName][]zf.FlowRow
+
+func newParcels() parcels { return make(parcels) }
+
+func (p parcels) add(to zf.InstanceName, row zf.FlowRow) {
+	if to != "" {
+		p[to] = append(p[to], row)
+	}
+}
+
+// dispatch queues rows in a fixed order of receivers.
+func (m *Mapper) dispatch(p parcels, copies bool) {
+	for _, member := range m.view.Members {
+		if rows := p[member.Name]; len(rows) > 0 && member.Name != m.view.Self {
+			m.queue(member.Name, rows, copies)
+		}
+	}
+}
+
+// restarted reports whether a member runs anew since the last change.
+func (m *Mapper) restarted(name zf.InstanceName) bool {
+	return m.incarnations[name] != m.incarnationOf(name)
+}
+
+// collect queues the rows that other instances have to get: an owner those that
+// the earlier owner has, or that this one has if the earlier owner and its
+// backup are gone; a backup those that this instance owns.
+func (m *Mapper) collect(previous, previousBackups *buckets) {
 	lives := make(map[zf.InstanceName]bool, len(m.view.Members))
 	for _, member := range m.view.Members {
-		lives[member.Name] = m.incarnations[member.Name] == member.Incarnation
+		lives[member.Name] = !m.restarted(member.Name)
 	}
-	rows := make(map[zf.InstanceName][]zf.FlowRow)
+	rows, copies := newParcels(), newParcels()
 	m.flows.Each(func(hash uint64, row zfflow.Row) bool {
 		b := bucketOf(hash)
-		owner, before := m.owners[b], previous[b]
 		t := m.tables[row.Service]
-		if owner == "" || owner == m.view.Self || uint32(row.Server) == t.rows[t.slotOf(hash)].base {
-			return true
-		}
-		changed := before == m.view.Self || !lives[before]
-		if changed || m.handover.rescan {
-			rows[owner] = append(rows[owner], m.exportFlow(hash, row))
+		owner, before := m.owners[b], previous[b]
+		switch {
+		case t.rows[t.slotOf(hash)].settled():
+		case owner == m.view.Self:
+			if before != owner || previousBackups[b] != m.backups[b] || !lives[m.backups[b]] {
+				copies.add(m.backups[b], m.exportFlow(hash, row))
+			}
+		case m.handover.rescan:
+			rows.add(owner, m.exportFlow(hash, row))
+		case before == owner && lives[before]:
+		case before == m.view.Self, !lives[before] && (previousBackups[b] != owner || !lives[owner]):
+			rows.add(owner, m.exportFlow(hash, row))
 		}
 		return true
 	})
 	m.handover.rescan = false
+	m.dispatch(rows, false)
+	m.dispatch(copies, true)
 	for _, member := range m.view.Members {
 		if member.Name != m.view.Self {
-			m.queue(member.Name, rows[member.Name])
+			m.push(&batch{
+				to: member.Name,
+				message: zf.FlowRows{
+					View: m.handover.view,
+					Last: true,
+				},
+			})
 		}
 	}
 }
@@ -128,41 +196,39 @@
 	}
 }
 
-// queue cuts rows into batches; the last one is sent even if it is empty.
-func (m *Mapper) queue(to zf.InstanceName, rows []zf.FlowRow) {
-	h := m.handover
-	slices.SortFunc(rows, func(a, b zf.FlowRow) int {
-		if a.Hash < b.Hash {
-			return -1
-		}
-		return 1
-	})
+// queue cuts rows into batches.
+func (m *Mapper) queue(to zf.InstanceName, rows []zf.FlowRow, copies bool) {
+	slices.SortFunc(rows, func(a, b zf.FlowRow) int { return cmp.Compare(a.Hash, b.Hash) })
 	m.stats.HandoverRows += len(rows)
-	for {
+	for len(rows) > 0 {
 		n := min(batchRows, len(rows))
-		h.number++
-		h.batches = append(h.batches, &batch{
+		next := &batch{
 			to: to,
 			message: zf.FlowRows{
-				Rows:  rows[:n],
-				Batch: h.number,
-				View:  h.view,
-				Last:  n == len(rows),
+				Rows: rows[:n],
 			},
-		})
-		rows = rows[n:]
-		if len(rows) == 0 {
-			return
+			copies: copies,
 		}
+		if !copies {
+			next.message.View = m.handover.view
+		}
+		m.push(next)
+		rows = rows[n:]
 	}
 }
 
+func (m *Mapper) push(next *batch) {
+	m.handover.number++
+	next.message.Batch = m.handover.number
+	m.handover.batches = append(m.handover.batches, next)
+}
+
 // runHandover sends batches within the byte budget, repeats those that were
 // not acknowledged, and ends the wait for members that do not answer.
 func (m *Mapper) runHandover(now time.Time) {
 	h := m.handover
 	if h.rescan {
-		m.collect(m.owners)
+		m.collect(m.owners, m.backups)
 	}
 	if now.Sub(h.since) >= m.config.Handover {
 		clear(h.awaited)
@@ -172,8 +238,12 @@
 			delete(h.awaited, name)
 		}
 	}
+	open := make(map[zf.InstanceName]bool)
 	for _, b := range h.batches {
-		if now.Sub(b.sent) < m.config.Resend {
+		// The last batch says that the ones before have come in.
+		wait := b.message.Last && open[b.to]
+		open[b.to] = true
+		if wait || now.Sub(b.sent) < m.config.Resend {
 			continue
 		}
 		if !m.limiter.AllowN(now, flowRowsBytes+flowRowBytes*len(b.message.Rows)) {
@@ -184,27 +254,44 @@
 	}
 }
 
-// receiveFlows takes rows from an earlier owner, or from the owner to which
-// this instance relayed a packet.
+// receiveFlows takes rows from an earlier owner, as a backup from the owner, or
+// from the owner to which this instance relayed a packet.
 func (m *Mapper) receiveFlows(from zf.InstanceName, message zf.FlowRows, now time.Time) {
+	onward, copies := newParcels(), newParcels()
 	for _, row := range message.Rows {
 		t, ok := m.byName[row.Service]
 		if !ok {
 			continue
 		}
-		flags := zfflow.Flags(0)
+		b := bucketOf(row.Hash)
+		learned := zfflow.Row{
+			Server:  zf.ServerID(m.names.intern(row.Server)),
+			Service: t.index,
+		}
 		if row.Tentative {
-			flags = zfflow.FlagTentative
+			learned.Flags |= zfflow.FlagTentative
 		}
-		if m.owners[bucketOf(row.Hash)] == m.view.Self {
-			flags |= zfflow.FlagOwned
+		if m.owners[b] == m.view.Self {
+			learned.Flags |= zfflow.FlagOwned
+		}
+		switch {
+		case message.Rebind && m.outdated(from, row.Hash, message.Batch, now):
+		case message.Rebind:
+			m.flows.Replace(row.Hash, learned, now)
+		case message.Batch == 0:
+			m.flows.LearnCopy(row.Hash, learned, now)
+		default:
+			news := m.flows.LearnAged(row.Hash, learned, row.Age, now)
+			switch owner := m.owners[b]; {
+			case owner == m.view.Self && news && m.backups[b] != from:
+				copies.add(m.backups[b], row)
+			case owner != m.view.Self && owner != from && message.View != 0:
+				onward.add(owner, row) // The members changed meanwhile.
+			}
 		}
-		m.flows.LearnAged(row.Hash, zfflow.Row{
-			Server:  zf.ServerID(m.names.intern(row.Server)),
-			Service: t.index,
-			Flags:   flags,
-		}, row.Age, now)
 	}
+	m.dispatch(onward, false)
+	m.dispatch(copies, true)
 	if message.Batch == 0 {
 		return
 	}
--- a/core/zfslot/hint.go
+++ b/core/zfslot/hint.go
@@ -69,7 +69,6 @@
 			list = list[n:]
 		}
 	}
-	m.sendRebinds()
 }
 
 // receiverOfHint returns the instance that relayed the packet, or the flow's
--- a/core/zfslot/mapper.go
+++ b/core/zfslot/mapper.go
@@ -50,7 +50,7 @@
 		Boot:      1500 * time.Millisecond,
 		Refresh:   2 * time.Minute,
 		Resend:    300 * time.Millisecond,
-		Grace:     1500 * time.Millisecond,
+		Grace:     700 * time.Millisecond,
 		Handover:  5 * time.Second,
 		Budget:    1500,
 		Burst:     96 << 10,
@@ -75,17 +75,21 @@
 	digest   uint64
 	stable   time.Time
 	owners   *buckets
+	owned    *[bucketCount]time.Time
 	backups  *buckets
 	handover *handover
 	hints    *hints
 	rebinds  *rebinds
+	applied  map[uint64]applied
 	limiter  *rate.Limiter
 	leaving  map[uint32]time.Time
 	// incarnations holds those of the members at the last change of owners.
 	incarnations map[zf.InstanceName]uint64
 	lastTick     time.Time
-	outbox       []zf.Envelope
-	stats        zf.MapperStats
+	// complete tells that the backend servers of the tables have been heard.
+	complete bool
+	outbox   []zf.Envelope
+	stats    zf.MapperStats
 }
 
 // New returns a mapper without tables.
@@ -99,10 +103,12 @@
 			Most:  config.Flows,
 		}),
 		owners:   &buckets{},
+		owned:    &[bucketCount]time.Time{},
 		backups:  &buckets{},
 		handover: newHandover(),
 		hints:    newHints(),
 		rebinds:  newRebinds(),
+		applied:  make(map[uint64]applied),
 		limiter:  rate.NewLimiter(rate.Limit(config.Budget), config.Burst),
 		leaving:  make(map[uint32]time.Time),
 	}
@@ -121,7 +127,8 @@
 	}
 	m.runHandover(now)
 	m.sendHints(now)
-	m.rebinds.sweep(now)
+	m.runRebinds(now)
+	m.sweepApplied(now)
 	m.sweepFlows(now)
 	m.publish(now)
 	out := m.outbox
@@ -192,6 +199,7 @@
 		m.receiveFlows(from, message, now)
 	case zf.FlowAck:
 		m.handover.acknowledge(from, message.Batch)
+		m.rebinds.acknowledge(from, m.incarnationOf(from), message.Batch)
 	}
 }
 
@@ -246,6 +254,15 @@
 	}
 }
 
+func (m *Mapper) incarnationOf(name zf.InstanceName) uint64 {
+	for i := range m.view.Members {
+		if m.view.Members[i].Name == name {
+			return m.view.Members[i].Incarnation
+		}
+	}
+	return 0
+}
+
 // sweepFlows forgets idle flows, those of backend servers that are gone, and
 // copies of rows that the owner would give again.
 func (m *Mapper) sweepFlows(now time.Time) {
@@ -260,7 +277,7 @@
 		switch {
 		case !t.live || gone[uint32(row.Server)]:
 			return 0
-		case row.Flags&zfflow.FlagOwned != 0 || uint32(row.Server) != t.rows[t.slotOf(hash)].base:
+		case row.Flags&zfflow.FlagOwned != 0 || !t.rows[t.slotOf(hash)].settled():
 			return t.view.Idle
 		default:
 			return m.config.Refresh
@@ -298,7 +315,8 @@
 	return digests
 }
 
-// Synced implements zinniafront.Mapper.
+// Synced implements zinniafront.Mapper. An instance that starts also waits for
+// a while until it has heard of the backend servers that the tables name.
 func (m *Mapper) Synced() bool {
 	if m.view.Members == nil {
 		return false
@@ -308,6 +326,23 @@
 			return false
 		}
 	}
+	m.complete = m.complete || m.lastTick.Sub(m.config.Start) >= m.config.Handover || m.hasServers()
+	return m.complete
+}
+
+// hasServers reports whether the addresses of all servers with slots are known.
+func (m *Mapper) hasServers() bool {
+	known := make(map[uint32]bool, len(m.view.Servers))
+	for _, server := range m.view.Servers {
+		known[m.names.index[server.Name]] = true
+	}
+	for _, t := range m.tables {
+		for _, row := range t.rows {
+			if t.live && row.active != noServer && !known[row.active] {
+				return false
+			}
+		}
+	}
 	return true
 }
 
--- a/core/zfslot/rebind.go
+++ b/core/zfslot/rebind.go
@@ -1,94 +1,156 @@
 package zfslot
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	zf "zinniafront"
 )
 
-const (
-	// rebindWait is how long the other instances get to hear that a five-tuple
-	// now has another backend server, before its first packet passes.
-	rebindWait = 500 * time.Millisecond
-	// rebindKept is how long a change is remembered.
-	rebindKept = time.Minute
-)
+// rebindKept is how long a change is remembered.
+const rebindKept = time.Minute
 
 // rebinds holds five-tuples that were opened again while their earlier backend
 // server takes no new flows. Other instances may trust their copy of the
-// earlier row, so that the opening is dropped once and its repetition passes.
+// earlier row, so that the opening is dropped until all of them have
+// acknowledged the new one; its repetition passes.
 type rebinds struct {
 	mutex   sync.Mutex
-	started map[uint64]rebind
-	untold  []uint64
+	started map[uint64]*rebind
 }
 
 type rebind struct {
+	hash    uint64
 	server  uint32
 	service uint16
 	at      time.Time
+	// number is the batch that members acknowledge, acks their incarnations.
+	number uint64
+	sent   time.Time
+	acks   map[zf.InstanceName]uint64
+	done   bool
 }
 
 func newRebinds() *rebinds {
 	return &rebinds{
-		started: make(map[uint64]rebind),
+		started: make(map[uint64]*rebind),
 	}
 }
 
-// ready reports whether a flow may open at another backend server now.
-func (r *rebinds) ready(l *lookup, server uint32) bool {
+// begin starts a change; the flow may open once it is no longer pending.
+func (r *rebinds) begin(l *lookup, server uint32) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	started, ok := r.started[l.hash]
-	if ok && started.server == server {
-		return l.now.Sub(started.at) >= rebindWait
-	}
-	r.started[l.hash] = rebind{
+	r.started[l.hash] = &rebind{
+		hash:    l.hash,
 		server:  server,
 		service: l.service.index,
 		at:      l.now,
+		acks:    make(map[zf.InstanceName]uint64),
 	}
-	r.untold = append(r.untold, l.hash)
-	return false
 }
 
-func (r *rebinds) sweep(now time.Time) {
+// pending reports whether a change of the flow is not acknowledged by all.
+func (r *rebinds) pending(hash uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	started, ok := r.started[hash]
+	return ok && !started.done
+}
+
+// acknowledge notes that a member replaced its copy.
+func (r *rebinds) acknowledge(from zf.InstanceName, incarnation, number uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	for _, started := range r.started {
+		if started.number == number {
+			started.acks[from] = incarnation
+		}
+	}
+}
+
+// open returns the changes that are not acknowledged by all, in a fixed order,
+// and forgets old ones.
+func (r *rebinds) open(now time.Time) []*rebind {
+	list := make([]*rebind, 0, len(r.started))
 	for hash, started := range r.started {
 		if now.Sub(started.at) >= rebindKept {
 			delete(r.started, hash)
+		} else if !started.done {
+			list = append(list, started)
 		}
 	}
+	slices.SortFunc(list, func(a, b *rebind) int { return cmp.Compare(a.hash, b.hash) })
+	return list
 }
 
-// takeUntold returns the rows that changed since the last call.
-func (r *rebinds) takeUntold(m *Mapper) []zf.FlowRow {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	rows := make([]zf.FlowRow, 0, len(r.untold))
-	for _, hash := range r.untold {
-		changed := r.started[hash]
-		rows = append(rows, zf.FlowRow{
-			Hash:    hash,
-			Server:  m.names.name(changed.server),
-			Service: m.tables[changed.service].view.Name,
-		})
+// runRebinds tells every member of the changes until all have acknowledged.
+func (m *Mapper) runRebinds(now time.Time) {
+	m.rebinds.mutex.Lock()
+	defer m.rebinds.mutex.Unlock()
+	for _, started := range m.rebinds.open(now) {
+		if started.number == 0 {
+			m.handover.number++
+			started.number = m.handover.number
+		}
+		resend := now.Sub(started.sent) >= m.config.Resend
+		started.done = true
+		for _, member := range m.view.Members {
+			if member.Name == m.view.Self || started.acks[member.Name] == member.Incarnation {
+				continue
+			}
+			started.done = false
+			if resend {
+				m.send(member.Name, m.rebindRows(started))
+			}
+		}
+		if resend {
+			started.sent = now
+		}
 	}
-	r.untold = nil
-	return rows
 }
 
-// sendRebinds tells every member of the changes.
-func (m *Mapper) sendRebinds() {
-	rows := m.rebinds.takeUntold(m)
-	if len(rows) == 0 {
-		return
+func (m *Mapper) rebindRows(started *rebind) zf.FlowRows {
+	return zf.FlowRows{
+		Rows: []zf.FlowRow{{
+			Hash:    started.hash,
+			Server:  m.names.name(started.server),
+			Service: m.tables[started.service].view.Name,
+		}},
+		Batch:  started.number,
+		Rebind: true,
 	}
-	for _, member := range m.view.Members {
-		m.send(member.Name, zf.FlowRows{
-			Rows: rows,
-		})
+}
+
+// applied is the last change of a five-tuple that this instance was told.
+type applied struct {
+	from   zf.InstanceName
+	number uint64
+	at     time.Time
+}
+
+// outdated reports whether a change came in after a later one of the same
+// owner, and notes it otherwise.
+func (m *Mapper) outdated(from zf.InstanceName, hash, number uint64, now time.Time) bool {
+	last, ok := m.applied[hash]
+	if ok && last.from == from && last.number > number {
+		return true
+	}
+	m.applied[hash] = applied{
+		from:   from,
+		number: number,
+		at:     now,
+	}
+	return false
+}
+
+// sweepApplied forgets old changes.
+func (m *Mapper) sweepApplied(now time.Time) {
+	for hash, last := range m.applied {
+		if now.Sub(last.at) >= rebindKept {
+			delete(m.applied, hash)
+		}
 	}
 }
--- a/core/zfslot/round.go
+++ b/core/zfslot/round.go
@@ -107,7 +107,7 @@
 		t.round.sent = now
 	}
 	if complete || m.config.Eager {
-		m.complete(t, now)
+		m.finishRound(t, now)
 	}
 }
 
@@ -119,9 +119,9 @@
 	return ok && incarnation == member.Incarnation
 }
 
-// complete ends the round. After a prepared one the slots' Next is made Active
+// finishRound ends the round. After a prepared one the slots' Next is made Active
 // and told to all members in a round of its own.
-func (m *Mapper) complete(t *table, now time.Time) {
+func (m *Mapper) finishRound(t *table, now time.Time) {
 	done := t.round
 	t.round.slots = nil
 	if !done.prepares {
--- a/core/zfslot/route.go
+++ b/core/zfslot/route.go
@@ -29,8 +29,9 @@
 	}
 	l.slot = service.slots[int(l.hash)&(len(service.slots)-1)]
 	l.row, l.known = m.flows.Touch(l.hash, packet.Kind, now)
-	l.known = l.known && l.credible()
-	fresh := l.known && m.flows.Age(l.row, now) < s.refresh
+	l.known = l.known && l.credible() && s.server(uint32(l.row.Server)).alive
+	fresh := l.known && m.flows.ConfirmedAfter(l.row, s.owned[bucketOf(l.hash)]) &&
+		m.flows.Age(l.row, now) < s.refresh
 	switch {
 	case fresh && packet.Kind == zf.PacketMiddle && !l.ownedHere():
 		return l.forward(uint32(l.row.Server))
@@ -77,25 +78,35 @@
 	}
 }
 
+// relayTo hands a packet to another instance.
+func (l *lookup) relayTo(member int16, reason zf.Reason) zf.Verdict {
+	return zf.Verdict{
+		Action: zf.ActionRelay,
+		To:     l.snapshot.members[member].relay,
+		Server: zf.NoServer,
+		Reason: reason,
+	}
+}
+
+// recent reports whether a member has been heard lately.
+func (l *lookup) recent(member int16) bool {
+	return member >= 0 && l.snapshot.members[member].recent
+}
+
 // relay hands a packet to the flow's owner. A packet of a settled slot needs no
 // owner to be placed, and passes by one that has not been heard lately.
 func (l *lookup) relay(reason zf.Reason) zf.Verdict {
 	owner := l.owner()
-	reachable := owner >= 0 && !l.relayed()
 	switch {
-	case l.slot.settled && l.packet.Kind == zf.PacketOpening && (!reachable || !l.snapshot.members[owner].recent):
-		return l.open(l.slot.active)
-	case l.slot.settled && (!reachable || !l.snapshot.members[owner].recent):
+	case l.slot.settled && (l.relayed() || !l.recent(owner)):
+		if l.packet.Kind == zf.PacketOpening {
+			return l.open(l.slot.active)
+		}
 		return l.forward(l.slot.active)
-	case !reachable:
+	case l.relayed() || owner < 0:
 		return drop(zf.ReasonNoOwner)
 	}
-	return zf.Verdict{
-		Action: zf.ActionRelay,
-		To:     l.snapshot.members[owner].relay,
-		Server: zf.NoServer,
-		Reason: reason,
-	}
+	return l.relayTo(owner, reason)
 }
 
 // forward sends a packet to a backend server that may have flows.
@@ -130,15 +141,14 @@
 // routeByOwner relays a packet to the flow's owner: the packets that open and
 // end a flow, and of the others the first one that comes in here and then one
 // every refresh time. In between this instance knows where the flow is, of a
-// settled slot from the slot and of another from what the owner told.
+// settled slot from the slot and of another from what the owner told. What an
+// earlier owner told counts no more, since a later one may not know of it.
 func (m *Mapper) routeByOwner(l *lookup) zf.Verdict {
 	switch {
+	case l.packet.Kind == zf.PacketOpening && l.slot.settled:
+		return l.relay(zf.ReasonOpening)
 	case l.packet.Kind == zf.PacketOpening:
-		verdict := l.relay(zf.ReasonOpening)
-		if verdict.Action == zf.ActionRelay && !l.known && l.slot.active != noServer {
-			m.learn(l, l.slot.active, zfflow.FlagTentative)
-		}
-		return verdict
+		return m.relayOpening(l)
 	case l.packet.Kind != zf.PacketMiddle:
 		return l.relay(zf.ReasonEnding)
 	case !l.slot.settled && l.known:
@@ -147,12 +157,33 @@
 		return l.relay(zf.ReasonMovedSlot)
 	}
 	verdict := l.relay(zf.ReasonRefresh)
-	if verdict.Action != zf.ActionDrop && l.slot.active != noServer {
+	if verdict.Action == zf.ActionRelay && l.slot.active != noServer {
 		m.learn(l, l.slot.active, 0)
 	}
 	return verdict
 }
 
+// relayOpening hands the first packet of a flow in an unsettled slot to the
+// owner by way of the backup, so that two instances know of the flow without
+// a message. The backup predicts the server from its own slot table.
+func (m *Mapper) relayOpening(l *lookup) zf.Verdict {
+	owner, backup := l.owner(), l.snapshot.backups[bucketOf(l.hash)]
+	switch {
+	case owner < 0:
+		return drop(zf.ReasonNoOwner)
+	case backup == l.snapshot.self:
+		if !l.known && l.slot.active != noServer {
+			m.learn(l, l.slot.active, zfflow.FlagTentative)
+		}
+		return l.relayTo(owner, zf.ReasonOpening)
+	case l.relayed():
+		return drop(zf.ReasonNoOwner)
+	case l.recent(backup):
+		return l.relayTo(backup, zf.ReasonBackup)
+	}
+	return l.relayTo(owner, zf.ReasonOpening)
+}
+
 // routeOwned decides a packet of a flow that this instance owns. An unknown
 // flow of an unsettled slot is with the base.
 func (m *Mapper) routeOwned(l *lookup) zf.Verdict {
@@ -189,14 +220,18 @@
 	}
 	server := l.slot.active
 	if l.known {
-		earlier := l.snapshot.server(uint32(l.row.Server))
+		earlier := uint32(l.row.Server)
 		switch {
-		case earlier.accepting:
-			server = uint32(l.row.Server)
-		case earlier.alive && !m.rebinds.ready(l, server):
-			return drop(zf.ReasonRebind)
+		case l.snapshot.server(earlier).accepting:
+			server = earlier
+		case !l.slot.settled && server != earlier:
+			m.learn(l, server, zfflow.FlagOwned)
+			m.rebinds.begin(l, server)
 		}
 	}
+	if m.rebinds.pending(l.hash) {
+		return drop(zf.ReasonRebind)
+	}
 	verdict := l.open(server)
 	if verdict.Action != zf.ActionForward {
 		return verdict
@@ -217,17 +252,25 @@
 	}, l.now)
 }
 
-// tell lets the relaying instance know where a flow of an unsettled slot is. Of a flow that came in
-// here directly, another instance is told at first and then now and then, so
-// that two know it.
+// tell lets other instances know where a flow of an unsettled slot is: the
+// backup at first and then twice in the flow's idle time, and the instance that
+// relayed a packet.
 func (m *Mapper) tell(l *lookup, server uint32) {
-	if l.slot.settled || l.known && !l.relayed() && !m.flows.Confirm(l.hash, l.snapshot.refresh, l.now) {
+	ended := l.row.Flags&zfflow.FlagEnded != 0
+	opening := l.packet.Kind == zf.PacketOpening
+	if l.slot.settled || ended && !opening {
 		return
 	}
-	m.hints.push(hint{
+	h := hint{
 		hash:    l.hash,
 		server:  server,
 		service: l.service.index,
-		relay:   l.packet.Relay,
-	})
+	}
+	if opening || !l.known || m.flows.Confirm(l.hash, l.service.idle/2, l.now) {
+		m.hints.push(h)
+	}
+	if l.relayed() && !opening {
+		h.relay = l.packet.Relay
+		m.hints.push(h)
+	}
 }
--- a/core/zfslot/settle.go
+++ b/core/zfslot/settle.go
@@ -125,6 +125,7 @@
 			continue
 		}
 		row.base = row.active
+		row.moved = false
 		m.write(t, slot, row, version, now)
 		written = append(written, slot)
 	}
--- a/core/zfslot/snapshot.go
+++ b/core/zfslot/snapshot.go
@@ -13,10 +13,14 @@
 	services map[serviceKey]*serviceSnapshot
 	servers  []serverSnapshot
 	members  []memberSnapshot
-	// owners holds the member that owns each bucket, or -1; pending tells that
-	// this instance owns a bucket whose rows have not all come in yet.
+	// owners and backups hold the members that own each bucket and that would
+	// own it next, or -1; pending tells that this instance owns a bucket whose
+	// rows have not all come in yet.
 	owners  [bucketCount]int16
+	backups [bucketCount]int16
 	pending [bucketCount]bool
+	// owned holds since when each bucket has its owner.
+	owned   *[bucketCount]time.Time
 	self    int16
 	refresh time.Duration
 }
@@ -72,6 +76,7 @@
 		services: make(map[serviceKey]*serviceSnapshot),
 		servers:  m.serverSnapshots(now),
 		members:  make([]memberSnapshot, 0, len(m.view.Members)),
+		owned:    m.owned,
 		self:     -1,
 		refresh:  m.config.Refresh,
 	}
@@ -109,15 +114,21 @@
 	if self, ok := index[m.view.Self]; ok {
 		next.self = self
 	}
-	for b, owner := range m.owners {
-		next.owners[b] = -1
-		if i, ok := index[owner]; ok {
-			next.owners[b] = i
-		}
+	for b := range m.owners {
+		next.owners[b] = indexOr(index, m.owners[b])
+		next.backups[b] = indexOr(index, m.backups[b])
 		next.pending[b] = m.handover.pending(b)
 	}
 }
 
+// indexOr returns the index of a member, or -1.
+func indexOr(index map[zf.InstanceName]int16, name zf.InstanceName) int16 {
+	if i, ok := index[name]; ok {
+		return i
+	}
+	return -1
+}
+
 func (m *Mapper) serverSnapshots(now time.Time) []serverSnapshot {
 	servers := make([]serverSnapshot, len(m.names.list))
 	for _, server := range m.view.Servers {
--- a/core/zfslot/table.go
+++ b/core/zfslot/table.go
@@ -17,12 +17,15 @@
 	next    uint32
 	version uint32
 	writer  uint32
+	moved   bool
 }
 
 // noServer is the index of no backend server.
 const noServer uint32 = 1<<32 - 1
 
-func (r slotRow) settled() bool { return r.base == r.active && r.active == r.next }
+// settled reports whether every flow of the slot is with its base. A slot that
+// went back to its base is not settled until its other flows have ended.
+func (r slotRow) settled() bool { return !r.moved && r.base == r.active && r.active == r.next }
 
 // newer reports whether the row goes before other.
 func (r slotRow) newer(other slotRow) bool {
@@ -143,6 +146,7 @@
 		Base:    n.name(row.base),
 		Active:  n.name(row.active),
 		Next:    n.name(row.next),
+		Moved:   row.moved,
 		Version: row.version,
 		Writer:  row.writer,
 	}
@@ -153,6 +157,7 @@
 		base:    n.intern(row.Base),
 		active:  n.intern(row.Active),
 		next:    n.intern(row.Next),
+		moved:   row.Moved,
 		version: row.Version,
 		writer:  row.Writer,
 	}
--- a/io/zfwire/message.go
+++ b/io/zfwire/message.go
@@ -61,6 +61,7 @@
 	Base    uint32
 	Active  uint32
 	Next    uint32
+	Moved   bool
 	Version uint32
 	Writer  uint32
 	Slots   []byte
@@ -93,6 +94,7 @@
 	Batch    uint64
 	View     uint64
 	Last     bool
+	Rebind   bool
 }
 
 type flowRow struct {
@@ -364,6 +366,7 @@
 			Base:    names.add(string(row.Base)),
 			Active:  names.add(string(row.Active)),
 			Next:    names.add(string(row.Next)),
+			Moved:   row.Moved,
 			Version: row.Version,
 			Writer:  row.Writer,
 		}
@@ -381,7 +384,7 @@
 
 func (g slotGroup) alike(other slotGroup) bool {
 	return g.Base == other.Base && g.Active == other.Active && g.Next == other.Next &&
-		g.Version == other.Version && g.Writer == other.Writer
+		g.Moved == other.Moved && g.Version == other.Version && g.Writer == other.Writer
 }
 
 func (c *Codec) decodeSlotRows(body cbor.RawMessage) (zf.Message, error) {
@@ -426,6 +429,7 @@
 			Base:    zf.ServerName(servers[0]),
 			Active:  zf.ServerName(servers[1]),
 			Next:    zf.ServerName(servers[2]),
+			Moved:   g.Moved,
 			Version: g.Version,
 			Writer:  g.Writer,
 		})
@@ -436,9 +440,10 @@
 func flowRowsToWire(message zf.FlowRows) flowRows {
 	servers, services := newDictionary(), newDictionary()
 	w := flowRows{
-		Batch: message.Batch,
-		View:  message.View,
-		Last:  message.Last,
+		Batch:  message.Batch,
+		View:   message.View,
+		Last:   message.Last,
+		Rebind: message.Rebind,
 	}
 	for _, row := range message.Rows {
 		w.Rows = append(w.Rows, flowRow{
@@ -460,9 +465,10 @@
 		return nil, errors.Wrap(err, "flow rows")
 	}
 	message := zf.FlowRows{
-		Batch: w.Batch,
-		View:  w.View,
-		Last:  w.Last,
+		Batch:  w.Batch,
+		View:   w.View,
+		Last:   w.Last,
+		Rebind: w.Rebind,
 	}
 	for _, row := range w.Rows {
 		server, err := lookUp(w.Servers, row.Server)
--- /dev/null
+++ b/lab/zfregion/schedule.go
@@ -0,0 +1,129 @@
+package zfregion
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	zf "zinniafront"
+)
+
+// Action is one kind of event in a schedule.
+type Action string
+
+// The actions.
+const (
+	ActionDrain     Action = "drain"
+	ActionUndrain   Action = "undrain"
+	ActionJoin      Action = "join"
+	ActionCrash     Action = "crash"
+	ActionRevive    Action = "revive"
+	ActionKill      Action = "kill"
+	ActionStart     Action = "start"
+	ActionStop      Action = "stop"
+	ActionOut       Action = "out"
+	ActionIn        Action = "in"
+	ActionRoll      Action = "roll"
+	ActionPartition Action = "partition"
+	ActionHeal      Action = "heal"
+)
+
+// Event is one event of a schedule.
+type Event struct {
+	// After is the time since the event before.
+	After  time.Duration
+	Action Action
+	// Target picks the machine or data centre among those that there are.
+	Target int
+}
+
+// String returns the event as ParseEvent reads it.
+func (e Event) String() string {
+	return fmt.Sprintf("%s %s %d", e.After, e.Action, e.Target)
+}
+
+// ParseEvent reads an event.
+func ParseEvent(line string) (Event, error) {
+	var after string
+	var e Event
+	if _, err := fmt.Sscanf(strings.TrimSpace(line), "%s %s %d", &after, &e.Action, &e.Target); err != nil {
+		return e, fmt.Errorf("event %q: %w", line, err)
+	}
+	var err error
+	e.After, err = time.ParseDuration(after)
+	return e, err
+}
+
+// killsApart is the least time between two deaths of instances; two copies of
+// a row may be lost if they come together.
+const killsApart = 15 * time.Second
+
+// Apply carries an event out as far as it makes sense: the last instance, the
+// last two backend servers of a service and the last data centre stay.
+func (r *Region) Apply(e Event) {
+	switch e.Action {
+	case ActionDrain, ActionCrash, ActionUndrain, ActionRevive:
+		r.applyServer(e)
+	case ActionJoin:
+		services := r.state.Bundle.Services
+		r.JoinServer(services[e.Target%len(services)].Name)
+	case ActionKill, ActionStop, ActionStart, ActionPartition:
+		r.applyInstance(e)
+	case ActionOut, ActionIn:
+		r.applyCentre(e)
+	case ActionRoll:
+		next := *r.state.Bundle
+		next.Version++
+		r.Roll(&next)
+	case ActionHeal:
+		r.Heal()
+	}
+}
+
+func (r *Region) applyServer(e Event) {
+	server := r.servers.list[e.Target%len(r.servers.list)]
+	working := 0
+	for _, other := range r.servers.list {
+		if other.Up && other.Service == server.Service && other.State != zf.ServerDraining {
+			working++
+		}
+	}
+	switch {
+	case e.Action == ActionDrain && server.Up && server.State != zf.ServerDraining && working > 2:
+		r.DrainServer(server)
+	case e.Action == ActionUndrain && server.Up && server.State == zf.ServerDraining:
+		r.ReturnServer(server)
+	case e.Action == ActionCrash && server.Up && working > 2:
+		r.KillServer(server)
+	case e.Action == ActionRevive && !server.Up:
+		r.ReviveServer(server)
+	}
+}
+
+func (r *Region) applyInstance(e Event) {
+	i := e.Target % len(r.instances)
+	instance := r.instances[i]
+	steady := len(r.Ready()) > 2
+	switch {
+	case e.Action == ActionKill && instance.Up && steady && r.now.Sub(r.killed) >= killsApart:
+		r.killed = r.now
+		r.Kill(i)
+	case e.Action == ActionStop && instance.Up && steady:
+		r.Stop(i)
+	case e.Action == ActionStart:
+		r.Start(i)
+	case e.Action == ActionPartition && instance.Up && steady && r.now.Sub(r.killed) >= killsApart:
+		r.killed = r.now
+		r.Partition(1, i)
+	}
+}
+
+func (r *Region) applyCentre(e Event) {
+	centres := r.state.Bundle.Centres
+	centre := centres[e.Target%len(centres)].Name
+	if e.Action == ActionIn {
+		r.Out(centre, false)
+	} else if len(r.state.Out)+1 < len(centres) {
+		r.Out(centre, true)
+	}
+}
--- /dev/null
+++ b/lab/zfregion/server.go
@@ -0,0 +1,189 @@
+package zfregion
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+)
+
+// Server is one backend server.
+type Server struct {
+	Name    zf.ServerName
+	Service zf.ServiceName
+	Centre  zf.CentreName
+	Address netip.AddrPort
+	Up      bool
+	State   zf.ServerState
+	// Since is when State began.
+	Since time.Time
+	conns map[zf.Flow]bool
+	// Most is the highest number of connections, Late counts openings more
+	// than lateAfter after a drain began, Foreign packets of other services.
+	Most    int
+	Late    int
+	Foreign int
+	// Falls counts how often it fell over while cold.
+	Falls    int
+	coldUntl time.Time
+	opens    []time.Time
+	next     time.Time
+	number   uint64
+}
+
+const (
+	// lateAfter is when a leaving backend server gets no new flow any more.
+	lateAfter = 3 * time.Second
+	// announceEvery is the time between announcements.
+	announceEvery = time.Second
+	// coldFor is how long a backend server stays cold.
+	coldFor = 5 * time.Second
+)
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return len(s.conns) }
+
+// Servers holds the backend servers of a region.
+type Servers struct {
+	bundle *zfbundle.Bundle
+	list   []*Server
+	index  map[netip.AddrPort]*Server
+}
+
+func newServers(bundle *zfbundle.Bundle) *Servers {
+	return &Servers{
+		bundle: bundle,
+		index:  make(map[netip.AddrPort]*Server),
+	}
+}
+
+// List returns the backend servers.
+func (s *Servers) List() []*Server { return s.list }
+
+// Find returns the backend server of a name, or nil.
+func (s *Servers) Find(name zf.ServerName) *Server {
+	for _, server := range s.list {
+		if server.Name == name {
+			return server
+		}
+	}
+	return nil
+}
+
+func (s *Servers) add(service zf.ServiceName, state zf.ServerState, now time.Time) *Server {
+	n := len(s.list)
+	server := &Server{
+		Name:    zf.ServerName(fmt.Sprintf("server-%d", n)),
+		Service: service,
+		Centre:  s.bundle.Centres[n%len(s.bundle.Centres)].Name,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(n >> 8), byte(n)}), 1),
+		Up:      true,
+		State:   state,
+		Since:   now,
+		conns:   make(map[zf.Flow]bool),
+	}
+	s.list = append(s.list, server)
+	s.index[server.Address] = server
+	return server
+}
+
+// Join adds a cold backend server.
+func (r *Region) JoinServer(service zf.ServiceName) *Server {
+	return r.servers.add(service, zf.ServerCold, r.now)
+}
+
+// DrainServer makes a backend server announce that it leaves.
+func (r *Region) DrainServer(server *Server) {
+	server.State = zf.ServerDraining
+	server.Since = r.now
+	server.next = r.now
+}
+
+// ReturnServer ends a drain.
+func (r *Region) ReturnServer(server *Server) {
+	server.State = zf.ServerWarm
+	server.Since = r.now
+	server.next = r.now
+}
+
+// KillServer ends a backend server and its connections.
+func (r *Region) KillServer(server *Server) {
+	server.Up = false
+	clear(server.conns)
+}
+
+// ReviveServer starts a backend server that was killed; it is cold.
+func (r *Region) ReviveServer(server *Server) {
+	server.Up = true
+	server.State = zf.ServerCold
+	server.Since = r.now
+	server.next = r.now
+}
+
+// tick returns the announcements that are due.
+func (s *Servers) tick(now time.Time) []zf.Announcement {
+	announcements := make([]zf.Announcement, 0, 4)
+	for _, server := range s.list {
+		if server.State == zf.ServerCold && now.Sub(server.Since) >= coldFor {
+			server.State = zf.ServerWarm
+		}
+		if !server.Up || now.Before(server.next) {
+			continue
+		}
+		server.next = now.Add(announceEvery)
+		server.number++
+		capacity := s.bundle.Find(server.Service).Pool.Capacity
+		announcements = append(announcements, zf.Announcement{
+			Server:   server.Name,
+			Service:  server.Service,
+			Centre:   server.Centre,
+			Address:  server.Address,
+			Web:      server.Address,
+			Capacity: capacity,
+			State:    server.State,
+			Load:     float64(len(server.conns)) / float64(capacity.Connections),
+			Sequence: server.number,
+		})
+	}
+	return announcements
+}
+
+// answer is what a backend server does with a packet.
+type answer uint8
+
+const (
+	answerNone answer = iota
+	answerOpen
+	answerData
+	answerReset
+)
+
+// take hands a packet to a backend server.
+func (s *Server) take(packet zf.Packet, service zf.ServiceName, now time.Time) answer {
+	if !s.Up {
+		return answerNone
+	}
+	if service != s.Service {
+		s.Foreign++
+		return answerReset
+	}
+	known := s.conns[packet.Flow]
+	switch {
+	case packet.Kind == zf.PacketOpening && !known:
+		if s.State == zf.ServerDraining && now.Sub(s.Since) > lateAfter {
+			s.Late++
+		}
+		s.conns[packet.Flow] = true
+		s.Most = max(s.Most, len(s.conns))
+		return answerOpen
+	case packet.Kind == zf.PacketOpening:
+		return answerOpen
+	case !known:
+		return answerReset
+	case packet.Kind != zf.PacketMiddle:
+		delete(s.conns, packet.Flow)
+	}
+	return answerData
+}
--- a/message.go
+++ b/message.go
@@ -76,6 +76,8 @@
 	Active ServerName
 	// Next becomes Active once every live instance has acknowledged the row.
 	Next ServerName
+	// Moved tells that the slot may have flows with other servers than Base.
+	Moved bool
 	// Version is a Lamport clock, Writer the hash of the name that wrote it.
 	Version uint32
 	Writer  uint32
@@ -134,6 +136,9 @@
 	View uint64
 	// Last tells that the sender has no more rows for this view.
 	Last bool
+	// Rebind tells that the owner gave the five-tuples to other servers; the
+	// rows replace any copy.
+	Rebind bool
 }
 
 // FlowAck acknowledges a batch of flow rows.
--- a/reason.go
+++ b/reason.go
@@ -21,6 +21,7 @@
 	ReasonIsolated
 	ReasonSendFailed
 	ReasonOpening
+	ReasonBackup
 	ReasonMovedSlot
 	ReasonRefresh
 	ReasonEnding
@@ -70,6 +71,7 @@
 	ReasonIsolated:       "isolated",
 	ReasonSendFailed:     "sendfailed",
 	ReasonOpening:        "opening",
+	ReasonBackup:         "backup",
 	ReasonMovedSlot:      "movedslot",
 	ReasonRefresh:        "refresh",
 	ReasonEnding:         "ending",
