--- a/core/zfflow/table.go
+++ b/core/zfflow/table.go
@@ -44,7 +44,10 @@
 
 // Row is one flow.
 type Row struct {
-	Server  zf.ServerID
+	Server zf.ServerID
+	// Version is that of the slot row under which the flow got its server, 0
+	// if nobody knew.
+	Version uint32
 	Service uint16
 	Flags   Flags
 	// seen is when the last packet came by and confirmed when the owner last
@@ -124,8 +127,8 @@
 	return row, ok
 }
 
-// Learn sets the row of a flow, seen and confirmed just now. It reports false
-// if the table is full.
+// Learn sets the row of a flow, seen and confirmed just now, whatever was known
+// of it. It reports false if the table is full.
 func (t *Table) Learn(hash uint64, row Row, now time.Time) bool {
 	row.seen = t.stamp(now)
 	row.confirmed = row.seen
@@ -135,10 +138,10 @@
 	return t.put(s, hash, row)
 }
 
-// LearnAged sets the row of a flow that was confirmed a while ago. It keeps a
-// row that was confirmed later, and any row over a tentative one. It reports
-// whether the flow's server was news.
-func (t *Table) LearnAged(hash uint64, row Row, age time.Duration, now time.Time) bool {
+// Merge sets the row of a flow that another instance confirmed a while ago,
+// unless the present one prevails. It reports whether the flow's server was
+// news.
+func (t *Table) Merge(hash uint64, row Row, age time.Duration, now time.Time) bool {
 	row.seen = t.stamp(now)
 	row.confirmed = row.seen - min(row.seen, uint32(age/time.Second))
 	s := t.shard(hash)
@@ -148,6 +151,9 @@
 	if ok && old.prevails(row) {
 		return false
 	}
+	if ok {
+		row.Flags |= old.Flags & (FlagOwned | FlagEnded)
+	}
 	return t.put(s, hash, row) && (!ok || old.Server != row.Server)
 }
 
@@ -164,29 +170,6 @@
 	return true
 }
 
-// Replace sets the row of a flow whatever was known of it.
-func (t *Table) Replace(hash uint64, row Row, now time.Time) {
-	t.Forget(hash)
-	t.Learn(hash, row, now)
-}
-
-// LearnCopy sets the row of a flow as its owner told it in a message that may
-// have been on its way for long. If it contradicts the row that is there, both
-// are dropped, so that the owner is asked again.
-func (t *Table) LearnCopy(hash uint64, row Row, now time.Time) {
-	s := t.shard(hash)
-	s.mutex.Lock()
-	old, ok := s.rows[hash]
-	s.mutex.Unlock()
-	if ok && old.Flags&(FlagOwned|FlagTentative) == 0 && old.Server != row.Server {
-		t.Forget(hash)
-		return
-	}
-	if !ok || old.Flags&FlagOwned == 0 {
-		t.Learn(hash, row, now)
-	}
-}
-
 // Forget removes the row of a flow.
 func (t *Table) Forget(hash uint64) {
 	s := t.shard(hash)
@@ -214,15 +197,15 @@
 	return false
 }
 
-// prevails reports whether the row is kept when other comes in. What this
-// instance decided itself goes first.
+// prevails reports whether the row is kept when other comes in. A predicted row
+// gives way; of two others the one decided later stays.
 func (r Row) prevails(other Row) bool {
-	if r.Flags&(FlagOwned|FlagTentative) == FlagOwned {
-		return true
-	}
 	if tentative := r.Flags & FlagTentative; tentative != other.Flags&FlagTentative {
 		return tentative == 0
 	}
+	if r.Version != other.Version {
+		return r.Version > other.Version
+	}
 	return r.confirmed > other.confirmed
 }
 
--- a/core/zfslot/handover.go
+++ b/core/zfslot/handover.go
@@ -26,9 +26,11 @@
 	// view is the membership that the batches are for; gained marks buckets
 	// that this instance owns since then, awaited the members whose last batch
 	// has not come in yet, done the view that each member has finished.
-	view    uint64
-	since   time.Time
-	gained  [bucketCount]bool
+	view   uint64
+	since  time.Time
+	gained [bucketCount]bool
+	// backed marks buckets that this instance backs up since then.
+	backed  [bucketCount]bool
 	awaited map[zf.InstanceName]bool
 	done    map[zf.InstanceName]uint64
 	// rescan asks to look through the flows although no owner changed.
@@ -73,6 +75,7 @@
 	m.backups = backupsOf(m.view.Members, m.owners)
 	h := m.handover
 	waiting := len(h.awaited) > 0
+	unsteady := now.Sub(h.since) < m.config.Handover
 	unsent := h.batches
 	h.view = m.digest
 	h.since = now
@@ -88,12 +91,18 @@
 		if previous[b] != m.owners[b] || m.restarted(previous[b]) {
 			owned[b] = now
 		}
-		// A backup has the rows already.
-		gained := previous[b] != m.view.Self && previousBackups[b] != m.view.Self || waiting && h.gained[b]
-		h.gained[b] = m.owners[b] == m.view.Self && gained
+		// A backup has the rows already, unless it became one just before.
+		had := previous[b] == m.view.Self && !(waiting && h.gained[b]) ||
+			previousBackups[b] == m.view.Self && !(waiting && h.backed[b])
+		h.gained[b] = m.owners[b] == m.view.Self && !had
+		h.backed[b] = m.backups[b] == m.view.Self && !had
 	}
 	m.owned = &owned
 	m.requeue(unsent)
+	if unsteady {
+		// The earlier backups may not have had all rows yet.
+		previousBackups = &buckets{}
+	}
 	m.collect(previous, previousBackups)
 	m.incarnations = make(map[zf.InstanceName]uint64, len(m.view.Members))
 	for _, member := range m.view.Members {
@@ -191,6 +200,7 @@
 		Hash:      hash,
 		Server:    m.names.name(uint32(row.Server)),
 		Service:   m.tables[row.Service].view.Name,
+		Version:   row.Version,
 		Age:       m.flows.Age(row, m.lastTick),
 		Tentative: row.Flags&zfflow.FlagTentative != 0,
 	}
@@ -258,38 +268,29 @@
 // from the owner to which this instance relayed a packet.
 func (m *Mapper) receiveFlows(from zf.InstanceName, message zf.FlowRows, now time.Time) {
 	onward, copies := newParcels(), newParcels()
+	early := false
 	for _, row := range message.Rows {
 		t, ok := m.byName[row.Service]
 		if !ok {
 			continue
 		}
 		b := bucketOf(row.Hash)
-		learned := zfflow.Row{
-			Server:  zf.ServerID(m.names.intern(row.Server)),
-			Service: t.index,
-		}
-		if row.Tentative {
-			learned.Flags |= zfflow.FlagTentative
-		}
-		if m.owners[b] == m.view.Self {
-			learned.Flags |= zfflow.FlagOwned
-		}
+		owner := m.owners[b]
+		news := m.flows.Merge(row.Hash, m.importFlow(t, row, owner), row.Age, now)
 		switch {
-		case message.Rebind && m.outdated(from, row.Hash, message.Batch, now):
-		case message.Rebind:
-			m.flows.Replace(row.Hash, learned, now)
 		case message.Batch == 0:
-			m.flows.LearnCopy(row.Hash, learned, now)
+		case owner == m.view.Self && news && m.backups[b] != from:
+			copies.add(m.backups[b], row)
+		case message.View == 0 || owner == m.view.Self:
+		case owner == from:
+			early = true
 		default:
-			news := m.flows.LearnAged(row.Hash, learned, row.Age, now)
-			switch owner := m.owners[b]; {
-			case owner == m.view.Self && news && m.backups[b] != from:
-				copies.add(m.backups[b], row)
-			case owner != m.view.Self && owner != from && message.View != 0:
-				onward.add(owner, row) // The members changed meanwhile.
-			}
+			onward.add(owner, row)
 		}
 	}
+	if early {
+		return // The sender knows of a change that has not come here yet, and sends again.
+	}
 	m.dispatch(onward, false)
 	m.dispatch(copies, true)
 	if message.Batch == 0 {
@@ -305,3 +306,18 @@
 		}
 	}
 }
+
+func (m *Mapper) importFlow(t *table, row zf.FlowRow, owner zf.InstanceName) zfflow.Row {
+	learned := zfflow.Row{
+		Server:  zf.ServerID(m.names.intern(row.Server)),
+		Version: row.Version,
+		Service: t.index,
+	}
+	if row.Tentative {
+		learned.Flags |= zfflow.FlagTentative
+	}
+	if owner == m.view.Self {
+		learned.Flags |= zfflow.FlagOwned
+	}
+	return learned
+}
--- a/core/zfslot/hint.go
+++ b/core/zfslot/hint.go
@@ -12,6 +12,7 @@
 type hint struct {
 	hash    uint64
 	server  uint32
+	version uint32
 	service uint16
 	relay   netip.AddrPort
 }
@@ -56,6 +57,7 @@
 			Hash:    next.hash,
 			Server:  m.names.name(next.server),
 			Service: m.tables[next.service].view.Name,
+			Version: next.version,
 		})
 	}
 	for _, member := range m.view.Members {
--- a/core/zfslot/mapper.go
+++ b/core/zfslot/mapper.go
@@ -1,6 +1,7 @@
 package zfslot
 
 import (
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -51,9 +52,9 @@
 		Refresh:   2 * time.Minute,
 		Resend:    300 * time.Millisecond,
 		Grace:     700 * time.Millisecond,
-		Handover:  5 * time.Second,
-		Budget:    1500,
-		Burst:     96 << 10,
+		Handover:  20 * time.Second,
+		Budget:    3000,
+		Burst:     256 << 10,
 		Tolerance: 0.02,
 		Flows:     2 << 20,
 	}
@@ -80,7 +81,6 @@
 	handover *handover
 	hints    *hints
 	rebinds  *rebinds
-	applied  map[uint64]applied
 	limiter  *rate.Limiter
 	leaving  map[uint32]time.Time
 	// incarnations holds those of the members at the last change of owners.
@@ -92,6 +92,10 @@
 	stats    zf.MapperStats
 }
 
+// startWait bounds how long a started instance waits to hear of all backend
+// servers that have slots.
+const startWait = 5 * time.Second
+
 // New returns a mapper without tables.
 func New(config Config) *Mapper {
 	return &Mapper{
@@ -108,7 +112,6 @@
 		handover: newHandover(),
 		hints:    newHints(),
 		rebinds:  newRebinds(),
-		applied:  make(map[uint64]applied),
 		limiter:  rate.NewLimiter(rate.Limit(config.Budget), config.Burst),
 		leaving:  make(map[uint32]time.Time),
 	}
@@ -128,7 +131,6 @@
 	m.runHandover(now)
 	m.sendHints(now)
 	m.runRebinds(now)
-	m.sweepApplied(now)
 	m.sweepFlows(now)
 	m.publish(now)
 	out := m.outbox
@@ -326,7 +328,7 @@
 			return false
 		}
 	}
-	m.complete = m.complete || m.lastTick.Sub(m.config.Start) >= m.config.Handover || m.hasServers()
+	m.complete = m.complete || m.lastTick.Sub(m.config.Start) >= startWait || m.hasServers()
 	return m.complete
 }
 
@@ -348,3 +350,12 @@
 
 // Busy implements zinniafront.Mapper.
 func (m *Mapper) Busy() bool { return len(m.handover.batches) > 0 }
+
+// DebugFlow is temporary.
+func (m *Mapper) DebugFlow(hash uint64) string {
+	row, ok := m.flows.Touch(hash, zf.PacketMiddle, m.lastTick)
+	if !ok {
+		return "-"
+	}
+	return string(m.names.name(uint32(row.Server))) + " " + fmt.Sprint(row.Flags)
+}
--- a/core/zfslot/rebind.go
+++ b/core/zfslot/rebind.go
@@ -24,6 +24,7 @@
 type rebind struct {
 	hash    uint64
 	server  uint32
+	version uint32
 	service uint16
 	at      time.Time
 	// number is the batch that members acknowledge, acks their incarnations.
@@ -46,6 +47,7 @@
 	r.started[l.hash] = &rebind{
 		hash:    l.hash,
 		server:  server,
+		version: l.slot.version,
 		service: l.service.index,
 		at:      l.now,
 		acks:    make(map[zf.InstanceName]uint64),
@@ -118,39 +120,8 @@
 			Hash:    started.hash,
 			Server:  m.names.name(started.server),
 			Service: m.tables[started.service].view.Name,
+			Version: started.version,
 		}},
-		Batch:  started.number,
-		Rebind: true,
-	}
-}
-
-// applied is the last change of a five-tuple that this instance was told.
-type applied struct {
-	from   zf.InstanceName
-	number uint64
-	at     time.Time
-}
-
-// outdated reports whether a change came in after a later one of the same
-// owner, and notes it otherwise.
-func (m *Mapper) outdated(from zf.InstanceName, hash, number uint64, now time.Time) bool {
-	last, ok := m.applied[hash]
-	if ok && last.from == from && last.number > number {
-		return true
-	}
-	m.applied[hash] = applied{
-		from:   from,
-		number: number,
-		at:     now,
-	}
-	return false
-}
-
-// sweepApplied forgets old changes.
-func (m *Mapper) sweepApplied(now time.Time) {
-	for hash, last := range m.applied {
-		if now.Sub(last.at) >= rebindKept {
-			delete(m.applied, hash)
-		}
+		Batch: started.number,
 	}
 }
--- a/core/zfslot/route.go
+++ b/core/zfslot/route.go
@@ -120,6 +120,8 @@
 		return drop(zf.ReasonServerGone)
 	case !server.allowed:
 		return drop(zf.ReasonCentreOut)
+	case !server.address.IsValid():
+		return drop(zf.ReasonNoServer)
 	}
 	return zf.Verdict{
 		Action: zf.ActionForward,
@@ -146,7 +148,11 @@
 func (m *Mapper) routeByOwner(l *lookup) zf.Verdict {
 	switch {
 	case l.packet.Kind == zf.PacketOpening && l.slot.settled:
-		return l.relay(zf.ReasonOpening)
+		verdict := l.relay(zf.ReasonOpening)
+		if verdict.Action == zf.ActionForward {
+			m.noteUnowned(l)
+		}
+		return verdict
 	case l.packet.Kind == zf.PacketOpening:
 		return m.relayOpening(l)
 	case l.packet.Kind != zf.PacketMiddle:
@@ -160,9 +166,22 @@
 	if verdict.Action == zf.ActionRelay && l.slot.active != noServer {
 		m.learn(l, l.slot.active, 0)
 	}
+	if verdict.Action == zf.ActionForward {
+		m.noteUnowned(l)
+	}
 	return verdict
 }
 
+// noteUnowned keeps a flow that was placed without its owner, as a copy that
+// is not trusted, so that the slot does not settle away from the flow.
+func (m *Mapper) noteUnowned(l *lookup) {
+	m.flows.Merge(l.hash, zfflow.Row{
+		Server:  zf.ServerID(l.slot.active),
+		Version: l.slot.version,
+		Service: l.service.index,
+	}, l.snapshot.refresh, l.now)
+}
+
 // relayOpening hands the first packet of a flow in an unsettled slot to the
 // owner by way of the backup, so that two instances know of the flow without
 // a message. The backup predicts the server from its own slot table.
@@ -172,7 +191,7 @@
 	case owner < 0:
 		return drop(zf.ReasonNoOwner)
 	case backup == l.snapshot.self:
-		if !l.known && l.slot.active != noServer {
+		if l.slot.active != noServer && !(l.known && l.snapshot.server(uint32(l.row.Server)).accepting) {
 			m.learn(l, l.slot.active, zfflow.FlagTentative)
 		}
 		return l.relayTo(owner, zf.ReasonOpening)
@@ -204,13 +223,30 @@
 	if verdict.Action != zf.ActionForward {
 		return verdict
 	}
+	version := l.row.Version
 	if !l.known {
-		m.learn(l, server, zfflow.FlagOwned)
+		version = m.learnUnknown(l, server)
 	}
-	m.tell(l, server)
+	m.tell(l, server, version)
 	return verdict
 }
 
+// learnUnknown keeps a flow that was there before this instance owned it. It
+// returns the version of the row.
+func (m *Mapper) learnUnknown(l *lookup, server uint32) uint32 {
+	version := uint32(0)
+	if l.slot.settled {
+		version = l.slot.version
+	}
+	m.flows.Learn(l.hash, zfflow.Row{
+		Server:  zf.ServerID(server),
+		Version: version,
+		Service: l.service.index,
+		Flags:   zfflow.FlagOwned,
+	}, l.now)
+	return version
+}
+
 // openOwned places a new flow. A repeated opening goes where the first one
 // went; a new flow with the five-tuple of an earlier one does so while that
 // backend server takes new flows.
@@ -236,17 +272,26 @@
 	if verdict.Action != zf.ActionForward {
 		return verdict
 	}
+	version := l.slot.version
+	if l.known && server == uint32(l.row.Server) {
+		version = l.row.Version
+	}
 	if !m.learn(l, server, zfflow.FlagOwned) {
 		return drop(zf.ReasonFull)
 	}
-	m.tell(l, server)
+	m.tell(l, server, version)
 	return verdict
 }
 
 // learn keeps a flow's backend server; it reports false if there is no room.
 func (m *Mapper) learn(l *lookup, server uint32, flags zfflow.Flags) bool {
+	version := l.slot.version
+	if l.known && server == uint32(l.row.Server) {
+		version = l.row.Version
+	}
 	return m.flows.Learn(l.hash, zfflow.Row{
 		Server:  zf.ServerID(server),
+		Version: version,
 		Service: l.service.index,
 		Flags:   flags,
 	}, l.now)
@@ -255,7 +300,7 @@
 // tell lets other instances know where a flow of an unsettled slot is: the
 // backup at first and then twice in the flow's idle time, and the instance that
 // relayed a packet.
-func (m *Mapper) tell(l *lookup, server uint32) {
+func (m *Mapper) tell(l *lookup, server, version uint32) {
 	ended := l.row.Flags&zfflow.FlagEnded != 0
 	opening := l.packet.Kind == zf.PacketOpening
 	if l.slot.settled || ended && !opening {
@@ -264,6 +309,7 @@
 	h := hint{
 		hash:    l.hash,
 		server:  server,
+		version: version,
 		service: l.service.index,
 	}
 	if opening || !l.known || m.flows.Confirm(l.hash, l.service.idle/2, l.now) {
--- a/core/zfslot/settle.go
+++ b/core/zfslot/settle.go
@@ -38,8 +38,8 @@
 // settleSlots makes Active the Base of slots that have no flow elsewhere. A
 // flow that lives has sent a packet within the service's idle time, and that
 // packet made it known to its owner, so that a slot is asked about when it and
-// the membership have been unchanged for that long; or at once if the Base is
-// gone, since its flows are.
+// the membership have been unchanged for that long; or soon if the Base is gone,
+// since its flows are, or if the owners have known all flows from the start.
 func (m *Mapper) settleSlots(t *table, now time.Time) {
 	if t.settle.open() {
 		m.finishSettle(t, now)
@@ -86,7 +86,8 @@
 			continue
 		}
 		waited := now.Sub(t.changed[slot]) >= quiet && now.Sub(m.stable) >= quiet
-		if waited || m.isGone(row.base) && m.handover.finished(now.Sub(m.stable), m.config.Handover) {
+		known := now.Sub(t.changed[slot]) >= settleEvery && m.stable.Before(t.born)
+		if waited || known || m.isGone(row.base) && m.handover.finished(now.Sub(m.stable), m.config.Handover) {
 			slots = append(slots, slot)
 		}
 	}
--- a/core/zfslot/snapshot.go
+++ b/core/zfslot/snapshot.go
@@ -41,6 +41,7 @@
 type slotSnapshot struct {
 	base    uint32
 	active  uint32
+	version uint32
 	settled bool
 }
 
@@ -60,10 +61,14 @@
 	recent bool
 }
 
-// server returns the state of a backend server; an unknown one is not alive.
+// server returns the state of a backend server. One that has not been heard of
+// counts as alive without an address.
 func (s *snapshot) server(index uint32) serverSnapshot {
 	if index >= uint32(len(s.servers)) {
-		return serverSnapshot{}
+		return serverSnapshot{
+			alive:   index != noServer,
+			allowed: true,
+		}
 	}
 	return s.servers[index]
 }
@@ -131,6 +136,10 @@
 
 func (m *Mapper) serverSnapshots(now time.Time) []serverSnapshot {
 	servers := make([]serverSnapshot, len(m.names.list))
+	for i := range servers {
+		servers[i].alive = true
+		servers[i].allowed = true
+	}
 	for _, server := range m.view.Servers {
 		index, ok := m.names.index[server.Name]
 		if !ok {
@@ -160,6 +169,7 @@
 		slots[i] = slotSnapshot{
 			base:    row.base,
 			active:  row.active,
+			version: row.version,
 			settled: row.settled(),
 		}
 	}
--- a/core/zfslot/table.go
+++ b/core/zfslot/table.go
@@ -42,6 +42,8 @@
 	changed []time.Time
 	clock   uint32
 	digest  uint64
+	// born is when the first row was written or came in.
+	born time.Time
 	// coordinator is the member that writes the table.
 	coordinator zf.InstanceName
 	// synced tells that the table agreed with the coordinator's since the
@@ -87,6 +89,9 @@
 
 // put replaces a row and keeps clock, digest and time of change.
 func (t *table) put(slot int, row slotRow, now time.Time) {
+	if t.born.IsZero() {
+		t.born = now
+	}
 	t.digest += rowDigest(slot, row) - rowDigest(slot, t.rows[slot])
 	t.clock = max(t.clock, row.version)
 	t.rows[slot] = row
--- a/io/zfwire/message.go
+++ b/io/zfwire/message.go
@@ -94,7 +94,6 @@
 	Batch    uint64
 	View     uint64
 	Last     bool
-	Rebind   bool
 }
 
 type flowRow struct {
@@ -102,6 +101,7 @@
 	Hash      uint64
 	Server    uint32
 	Service   uint32
+	Version   uint32
 	Age       uint32
 	Tentative bool
 }
@@ -440,16 +440,16 @@
 func flowRowsToWire(message zf.FlowRows) flowRows {
 	servers, services := newDictionary(), newDictionary()
 	w := flowRows{
-		Batch:  message.Batch,
-		View:   message.View,
-		Last:   message.Last,
-		Rebind: message.Rebind,
+		Batch: message.Batch,
+		View:  message.View,
+		Last:  message.Last,
 	}
 	for _, row := range message.Rows {
 		w.Rows = append(w.Rows, flowRow{
 			Hash:      row.Hash,
 			Server:    servers.add(string(row.Server)),
 			Service:   services.add(string(row.Service)),
+			Version:   row.Version,
 			Age:       uint32(row.Age / time.Second),
 			Tentative: row.Tentative,
 		})
@@ -465,10 +465,9 @@
 		return nil, errors.Wrap(err, "flow rows")
 	}
 	message := zf.FlowRows{
-		Batch:  w.Batch,
-		View:   w.View,
-		Last:   w.Last,
-		Rebind: w.Rebind,
+		Batch: w.Batch,
+		View:  w.View,
+		Last:  w.Last,
 	}
 	for _, row := range w.Rows {
 		server, err := lookUp(w.Servers, row.Server)
@@ -483,6 +482,7 @@
 			Hash:      row.Hash,
 			Server:    zf.ServerName(server),
 			Service:   zf.ServiceName(service),
+			Version:   row.Version,
 			Age:       time.Duration(row.Age) * time.Second,
 			Tentative: row.Tentative,
 		})
--- a/lab/zfregion/explore_test.go
+++ b/lab/zfregion/explore_test.go
@@ -38,7 +38,7 @@
 						if p.Flow.Destination.Addr().As4()[3] == 1 {
 							svc = "images"
 						}
-						lines = append(lines, fmt.Sprint("   ", i, in.World.Mapper().(*zfslot.Mapper).DebugRow(svc, zfflow.Hash(7, p.Flow))))
+						lines = append(lines, fmt.Sprint("   ", i, in.World.Mapper().(*zfslot.Mapper).DebugRow(svc, zfflow.Hash(7, p.Flow)), in.World.Mapper().(*zfslot.Mapper).DebugFlow(zfflow.Hash(7, p.Flow))))
 					}
 				}
 				lines = append(lines, line)
--- a/message.go
+++ b/message.go
@@ -119,6 +119,9 @@
 	Server ServerName
 	// Service is the flow's service.
 	Service ServiceName
+	// Version is that of the slot row under which the flow got its server, 0
+	// if nobody knew; the row with the higher one wins.
+	Version uint32
 	// Age is the time since the flow's owner confirmed the server.
 	Age time.Duration
 	// Tentative tells that the sender predicted the server from its own slot
@@ -136,9 +139,6 @@
 	View uint64
 	// Last tells that the sender has no more rows for this view.
 	Last bool
-	// Rebind tells that the owner gave the five-tuples to other servers; the
-	// rows replace any copy.
-	Rebind bool
 }
 
 // FlowAck acknowledges a batch of flow rows.
