--- a/core/zfinstance/world.go
+++ b/core/zfinstance/world.go
@@ -4,6 +4,7 @@
 package zfinstance
 
 import (
+	"slices"
 	"time"
 
 	zf "zinniafront"
@@ -176,7 +177,9 @@
 	if !w.stopping || now.Sub(w.stopped) < stopNotice {
 		return false
 	}
-	return !w.mapper.Busy() && w.requests.Running() == 0
+	// A member that is silent may be dead, and its rows be here alone.
+	silent := slices.ContainsFunc(w.view.Members, func(m zf.MemberView) bool { return !m.Recent })
+	return !silent && !w.mapper.Busy() && w.requests.Running() == 0
 }
 
 // Farewell returns the messages that end a planned stop.
--- a/core/zfslot/handover.go
+++ b/core/zfslot/handover.go
@@ -99,11 +99,7 @@
 	}
 	m.owned = &owned
 	m.requeue(unsent)
-	if unsteady {
-		// The earlier backups may not have had all rows yet.
-		previousBackups = &buckets{}
-	}
-	m.collect(previous, previousBackups)
+	m.collect(previous, previousBackups, unsteady)
 	m.incarnations = make(map[zf.InstanceName]uint64, len(m.view.Members))
 	for _, member := range m.view.Members {
 		m.incarnations[member.Name] = member.Incarnation
@@ -154,8 +150,9 @@
 
 // collect queues the rows that other instances have to get: an owner those that
 // the earlier owner has, or that this one has if the earlier owner and its
-// backup are gone; a backup those that this instance owns.
-func (m *Mapper) collect(previous, previousBackups *buckets) {
+// backup are gone; a backup those that this instance owns. unsteady tells that
+// the earlier backups may not have had all rows yet.
+func (m *Mapper) collect(previous, previousBackups *buckets, unsteady bool) {
 	lives := make(map[zf.InstanceName]bool, len(m.view.Members))
 	for _, member := range m.view.Members {
 		lives[member.Name] = !m.restarted(member.Name)
@@ -174,7 +171,7 @@
 		case m.handover.rescan:
 			rows.add(owner, m.exportFlow(hash, row))
 		case before == owner && lives[before]:
-		case before == m.view.Self, !lives[before] && (previousBackups[b] != owner || !lives[owner]):
+		case before == m.view.Self, !lives[before] && (unsteady || previousBackups[b] != owner || !lives[owner]):
 			rows.add(owner, m.exportFlow(hash, row))
 		}
 		return true
@@ -238,7 +235,7 @@
 func (m *Mapper) runHandover(now time.Time) {
 	h := m.handover
 	if h.rescan {
-		m.collect(m.owners, m.backups)
+		m.collect(m.owners, m.backups, false)
 	}
 	if now.Sub(h.since) >= m.config.Handover {
 		clear(h.awaited)
--- a/core/zfslot/route.go
+++ b/core/zfslot/route.go
@@ -254,6 +254,9 @@
 	if !l.known && !l.slot.settled && l.pending() {
 		return drop(zf.ReasonOwnerPending)
 	}
+	if backup := l.snapshot.backups[bucketOf(l.hash)]; !l.slot.settled && !l.relayed() && l.recent(backup) {
+		return l.relayTo(backup, zf.ReasonBackup) // It comes back once the backup knows of the flow.
+	}
 	server := l.slot.active
 	if l.known {
 		earlier := uint32(l.row.Server)
--- a/lab/zfregion/explore_test.go
+++ b/lab/zfregion/explore_test.go
@@ -64,10 +64,28 @@
 			e := zfregion.Event{After: time.Duration(rnd.IntN(8000)) * time.Millisecond, Action: acts[rnd.IntN(len(acts))], Target: rnd.IntN(30)}
 			events = append(events, e)
 			r.Advance(e.After)
+			if os.Getenv("HAND") != "" {
+				t.Log(r.Elapsed(), "before", e)
+				for i, in := range r.Instances() {
+					if in.Up {
+						t.Log("  ", i, in.World.Mapper().(*zfslot.Mapper).DebugHandover())
+					}
+				}
+			}
 			r.Apply(e)
 		}
 		r.Heal()
-		r.Advance(40 * time.Second)
+		for range 8 {
+			r.Advance(5 * time.Second)
+			if os.Getenv("HAND") != "" {
+				t.Log(r.Elapsed(), "after")
+				for i, in := range r.Instances() {
+					if in.Up {
+						t.Log("  ", i, in.World.Mapper().(*zfslot.Mapper).DebugHandover())
+					}
+				}
+			}
+		}
 		res := r.Flows().Result()
 		late, foreign := 0, 0
 		for _, s := range r.Servers().List() {
--- a/lab/zfregion/flow.go
+++ b/lab/zfregion/flow.go
@@ -266,6 +266,9 @@
 		next.state = flowOpen
 		next.server = got.server
 		next.released = r.isOut(got.server.Centre)
+		if got.server.Late > 0 && len(f.result.Causes) < mostCauses && got.server.State == zf.ServerDraining {
+			f.result.Causes = append(f.result.Causes, fmt.Sprintf("at %s flow %d %s late at %s", r.Elapsed(), next.number, next.key.Source, got.server.Name))
+		}
 		f.result.Opened++
 		f.answered(next)
 	case got.answer == answerReset && next.state == flowOpen:
