Flow table in one slice a shard

Change: open addressing with linear probing in one slice without pointers; the service is found by one number at IPv4 addresses; ages are computed once.

--- /dev/null
+++ b/core/zfcontrol/machine_test.go
@@ -0,0 +1,128 @@
+package zfcontrol_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfcontrol"
+	"zinniafront/lab/zfassert"
+)
+
+func newMachine(t testing.TB) *zfcontrol.Machine {
+	t.Helper()
+	machine, err := zfcontrol.NewMachine(zfcontrol.State{}, nil)
+	zfassert.NoError(t, err)
+	return machine
+}
+
+func accept(version uint64, digest string) zfcontrol.AcceptCommand {
+	return zfcontrol.AcceptCommand{
+		Signed: []byte(digest),
+		Digest: digest,
+		Bundle: &zfbundle.Bundle{
+			Name:    "test",
+			Version: version,
+			Centres: []zfbundle.Centre{{Name: "one"}, {Name: "two"}},
+		},
+	}
+}
+
+func roll(version uint64) zfcontrol.RollCommand {
+	return zfcontrol.RollCommand{Version: version}
+}
+
+func centre(name zf.CentreName, out bool) zfcontrol.CentreCommand {
+	return zfcontrol.CentreCommand{
+		Centre: name,
+		Out:    out,
+	}
+}
+
+func assertStatus(t testing.TB, outcome zfcontrol.Outcome, want zfcontrol.Status) {
+	t.Helper()
+	zfassert.Equal(t, "status", outcome.Status.String(), want.String())
+}
+
+func TestMachine(t *testing.T) {
+	t.Run("race of equal versions", func(t *testing.T) {
+		m := newMachine(t)
+		assertStatus(t, m.Apply(accept(1, "a")), zfcontrol.StatusDone)
+		outcome := m.Apply(accept(1, "b"))
+		assertStatus(t, outcome, zfcontrol.StatusConflict)
+		zfassert.Equal(t, "holder", outcome.Digest, "a")
+	})
+	t.Run("resend gets the same sequence", func(t *testing.T) {
+		m := newMachine(t)
+		first := m.Apply(accept(1, "a"))
+		m.Apply(accept(2, "b"))
+		again := m.Apply(accept(1, "a"))
+		assertStatus(t, again, zfcontrol.StatusAlready)
+		zfassert.Equal(t, "sequence", again.Sequence, first.Sequence)
+	})
+	t.Run("an older version is refused", func(t *testing.T) {
+		m := newMachine(t)
+		m.Apply(accept(2, "b"))
+		assertStatus(t, m.Apply(accept(1, "a")), zfcontrol.StatusStale)
+	})
+	t.Run("a roll never goes back", func(t *testing.T) {
+		m := newMachine(t)
+		m.Apply(accept(1, "a"))
+		m.Apply(accept(2, "b"))
+		assertStatus(t, m.Apply(roll(2)), zfcontrol.StatusDone)
+		assertStatus(t, m.Apply(roll(1)), zfcontrol.StatusStale)
+		assertStatus(t, m.Apply(roll(2)), zfcontrol.StatusAlready)
+		assertStatus(t, m.Apply(roll(3)), zfcontrol.StatusUnknown)
+	})
+	t.Run("a bundle of another deployment is refused", func(t *testing.T) {
+		m := newMachine(t)
+		m.Apply(accept(1, "a"))
+		foreign := accept(2, "b")
+		foreign.Bundle.Name = "other"
+		assertStatus(t, m.Apply(foreign), zfcontrol.StatusForeign)
+	})
+	t.Run("data centres", func(t *testing.T) {
+		m := newMachine(t)
+		assertStatus(t, m.Apply(centre("one", true)), zfcontrol.StatusUnknown)
+		m.Apply(accept(1, "a"))
+		m.Apply(roll(1))
+		assertStatus(t, m.Apply(centre("one", true)), zfcontrol.StatusDone)
+		assertStatus(t, m.Apply(centre("one", true)), zfcontrol.StatusAlready)
+		assertStatus(t, m.Apply(centre("two", true)), zfcontrol.StatusLast)
+		assertStatus(t, m.Apply(centre("one", false)), zfcontrol.StatusDone)
+		zfassert.Equal(t, "out", len(m.State().Out), 0)
+	})
+}
+
+func TestMachineNeverReverts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(t)
+		digests := make(map[uint64]string)
+		var last zfcontrol.State
+		for range rapid.IntRange(1, 40).Draw(rt, "commands") {
+			version := rapid.Uint64Range(1, 6).Draw(rt, "version")
+			digest := fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "digest"))
+			switch rapid.IntRange(0, 2).Draw(rt, "kind") {
+			case 0:
+				if m.Apply(accept(version, digest)).Status == zfcontrol.StatusDone {
+					if held, ok := digests[version]; ok {
+						rt.Fatalf("version %d was %s, is %s", version, held, digest)
+					}
+					digests[version] = digest
+				}
+			case 1:
+				m.Apply(roll(version))
+			default:
+				m.Apply(centre("one", digest == "0"))
+			}
+			state := m.State()
+			if state.Sequence < last.Sequence || state.InForce < last.InForce {
+				rt.Fatalf("went back from %+v to %+v", last, state)
+			}
+			last = state
+		}
+	})
+}
--- /dev/null
+++ b/core/zfflow/shard.go
@@ -0,0 +1,131 @@
+package zfflow
+
+import (
+	"math/bits"
+	"sync"
+)
+
+// shard is a part of the table: an open-addressing hash table with linear
+// probing in one slice without pointers, so that a lookup costs one cache miss.
+type shard struct {
+	mutex   sync.Mutex
+	entries []entry
+	count   int
+}
+
+// entry is a row with its hash; the hash 0 marks an empty one.
+type entry struct {
+	hash uint64
+	row  Row
+}
+
+const (
+	// entryBytes is the size of an entry.
+	entryBytes = 32
+	// leastEntries is the size of a shard that holds its first row.
+	leastEntries = 8
+	// A shard grows by half when more than four fifths are taken, so that a
+	// row takes at most 60 bytes.
+	growNumerator, growDenominator = 3, 2
+	fullNumerator, fullDenominator = 4, 5
+)
+
+// keyOf avoids the hash that marks an empty entry.
+func keyOf(hash uint64) uint64 {
+	if hash == 0 {
+		return 1
+	}
+	return hash
+}
+
+// home returns where the search for a key begins.
+func (s *shard) home(key uint64) int {
+	high, _ := bits.Mul64(key*0x9e3779b97f4a7c15, uint64(len(s.entries)))
+	return int(high)
+}
+
+func (s *shard) next(i int) int {
+	if i++; i < len(s.entries) {
+		return i
+	}
+	return 0
+}
+
+// find returns the row of a key, or nil.
+func (s *shard) find(key uint64) *Row {
+	if len(s.entries) == 0 {
+		return nil
+	}
+	for i := s.home(key); ; i = s.next(i) {
+		switch s.entries[i].hash {
+		case key:
+			return &s.entries[i].row
+		case 0:
+			return nil
+		}
+	}
+}
+
+// insert adds the row of a key that is not there.
+func (s *shard) insert(key uint64, row Row) {
+	if (s.count+1)*fullDenominator > len(s.entries)*fullNumerator {
+		s.grow()
+	}
+	s.place(key, row)
+	s.count++
+}
+
+func (s *shard) place(key uint64, row Row) {
+	i := s.home(key)
+	for s.entries[i].hash != 0 {
+		i = s.next(i)
+	}
+	s.entries[i] = entry{
+		hash: key,
+		row:  row,
+	}
+}
+
+func (s *shard) grow() {
+	old := s.entries
+	s.entries = make([]entry, max(leastEntries, len(old)*growNumerator/growDenominator))
+	for _, e := range old {
+		if e.hash != 0 {
+			s.place(e.hash, e.row)
+		}
+	}
+}
+
+// remove empties the entry at i and moves later ones of the same run back.
+func (s *shard) remove(i int) {
+	s.count--
+	for j := s.next(i); s.entries[j].hash != 0; j = s.next(j) {
+		if s.distance(s.home(s.entries[j].hash), j) >= s.distance(i, j) {
+			s.entries[i] = s.entries[j]
+			i = j
+		}
+	}
+	s.entries[i] = entry{}
+}
+
+// distance returns the steps from one index to a later one.
+func (s *shard) distance(from, to int) int {
+	if to >= from {
+		return to - from
+	}
+	return to - from + len(s.entries)
+}
+
+// forget removes the row of a key; it reports whether there was one.
+func (s *shard) forget(key uint64) bool {
+	if len(s.entries) == 0 {
+		return false
+	}
+	for i := s.home(key); s.entries[i].hash != 0; i = s.next(i) {
+		if s.entries[i].hash == key {
+			s.remove(i)
+			return true
+		}
+	}
+	return false
+}
--- a/core/zfflow/table.go
+++ b/core/zfflow/table.go
@@ -4,7 +4,6 @@
 package zfflow
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,16 +14,13 @@
 	// shardCount is the number of shards, a power of two.
 	shardCount = 256
 	shardShift = 64 - 8
-	// rowBytes is the memory of one row in its map: key, row and control byte,
-	// at the lowest load factor between two growths.
-	rowBytes = 57
 	// EndedLinger is how long a row outlives a FIN or a RST. It is longer than
 	// other instances trust their copies of the row.
 	EndedLinger = 150 * time.Second
 	// sweepShards is the number of shards that one tick looks through.
 	sweepShards = 8
 	// evictTries bounds the search for a row to drop.
-	evictTries = 16
+	evictTries = 64
 )
 
 // Flags tell how a row was learned and what its flow did.
@@ -65,12 +61,6 @@
 	cursor int
 }
 
-type shard struct {
-	mutex sync.Mutex
-	rows  map[uint64]Row
-	_     [48]byte
-}
-
 // Config holds the constants of a table.
 type Config struct {
 	// Start is the origin of the table's times.
@@ -81,14 +71,10 @@
 
 // New returns an empty table.
 func New(config Config) *Table {
-	table := &Table{
+	return &Table{
 		start: config.Start,
 		most:  int64(config.Most),
 	}
-	for i := range table.shards {
-		table.shards[i].rows = make(map[uint64]Row)
-	}
-	return table
 }
 
 func (t *Table) shard(hash uint64) *shard { return &t.shards[hash>>shardShift] }
@@ -103,28 +89,25 @@
 	return time.Duration(t.stamp(now)-row.confirmed) * time.Second
 }
 
-// ConfirmedAfter reports whether the owner told the row's server in a later
-// second than that of at.
-func (t *Table) ConfirmedAfter(row Row, at time.Time) bool {
-	return row.confirmed > t.stamp(at) || !at.After(t.start)
-}
-
-// Touch returns the row of a flow and notes that a packet came by.
-func (t *Table) Touch(hash uint64, kind zf.PacketKind, now time.Time) (Row, bool) {
+// Touch returns the row of a flow, with the time since the owner last told its
+// server, and notes that a packet came by.
+func (t *Table) Touch(hash uint64, kind zf.PacketKind, now time.Time) (row Row, age time.Duration, known bool) {
 	stamp := t.stamp(now)
-	ends := kind == zf.PacketClosing || kind == zf.PacketReset
+	key := keyOf(hash)
 	s := t.shard(hash)
 	s.mutex.Lock()
-	row, ok := s.rows[hash]
-	if ok && (row.seen != stamp || ends) {
-		row.seen = stamp
-		if ends {
-			row.Flags |= FlagEnded
-		}
-		s.rows[hash] = row
+	found := s.find(key)
+	if found == nil {
+		s.mutex.Unlock()
+		return Row{}, 0, false
+	}
+	found.seen = stamp
+	if kind == zf.PacketClosing || kind == zf.PacketReset {
+		found.Flags |= FlagEnded
 	}
+	row = *found
 	s.mutex.Unlock()
-	return row, ok
+	return row, time.Duration(stamp-row.confirmed) * time.Second, true
 }
 
 // Learn sets the row of a flow, seen and confirmed just now, whatever was known
@@ -147,26 +130,30 @@
 	s := t.shard(hash)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	old, ok := s.rows[hash]
-	if ok && old.prevails(row) {
-		return false
+	old := s.find(keyOf(hash))
+	if old == nil {
+		return t.put(s, hash, row)
 	}
-	if ok {
-		row.Flags |= old.Flags & (FlagOwned | FlagEnded)
+	if old.prevails(row) {
+		return false
 	}
-	return t.put(s, hash, row) && (!ok || old.Server != row.Server)
+	news := old.Server != row.Server
+	row.Flags |= old.Flags & (FlagOwned | FlagEnded)
+	*old = row
+	return news
 }
 
 // put sets a row in a locked shard; it reports false if the table is full.
 func (t *Table) put(s *shard, hash uint64, row Row) bool {
-	_, ok := s.rows[hash]
-	if !ok {
-		if t.count.Load() >= t.most && !t.evict(s) {
-			return false
-		}
-		t.count.Add(1)
+	if old := s.find(keyOf(hash)); old != nil {
+		*old = row
+		return true
 	}
-	s.rows[hash] = row
+	if t.count.Load() >= t.most && !t.evict(s, hash) {
+		return false
+	}
+	t.count.Add(1)
+	s.insert(keyOf(hash), row)
 	return true
 }
 
@@ -175,24 +162,24 @@
 	s := t.shard(hash)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if _, ok := s.rows[hash]; ok {
-		delete(s.rows, hash)
+	if s.forget(keyOf(hash)) {
 		t.count.Add(-1)
 	}
 }
 
-// evict drops a copy from a locked shard; a map is visited in random order.
-func (t *Table) evict(s *shard) bool {
-	tries := 0
-	for hash, row := range s.rows {
-		if row.Flags&FlagOwned == 0 {
-			delete(s.rows, hash)
+// evict drops a copy from a locked shard, one of those behind a key's home.
+func (t *Table) evict(s *shard, hash uint64) bool {
+	if len(s.entries) == 0 {
+		return false
+	}
+	i := s.home(keyOf(hash))
+	for range min(evictTries, len(s.entries)) {
+		if e := &s.entries[i]; e.hash != 0 && e.row.Flags&FlagOwned == 0 {
+			s.remove(i)
 			t.count.Add(-1)
 			return true
 		}
-		if tries++; tries == evictTries {
-			break
-		}
+		i = s.next(i)
 	}
 	return false
 }
@@ -215,23 +202,31 @@
 	s := t.shard(hash)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	row, ok := s.rows[hash]
-	if !ok || t.Age(row, now) < every {
+	row := s.find(keyOf(hash))
+	if row == nil || t.Age(*row, now) < every {
 		return false
 	}
 	row.confirmed = t.stamp(now)
-	s.rows[hash] = row
 	return true
 }
 
 // Len returns the number of rows.
 func (t *Table) Len() int { return int(t.count.Load()) }
 
-// Bytes returns an upper bound of the memory that the rows take.
-func (t *Table) Bytes() int { return t.Len() * rowBytes }
+// Bytes returns the memory that the rows take.
+func (t *Table) Bytes() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mutex.Lock()
+		n += len(s.entries) * entryBytes
+		s.mutex.Unlock()
+	}
+	return n
+}
 
-// Each calls visit for every row, in no order; visit returns false to remove
-// the row. A shard is locked while its rows are visited.
+// Each calls visit for every row; visit returns false to remove the row. A shard
+// is locked while its rows are visited.
 func (t *Table) Each(visit func(hash uint64, row Row) bool) {
 	for i := range t.shards {
 		t.eachOf(i, visit)
@@ -242,11 +237,14 @@
 	s := &t.shards[i]
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for hash, row := range s.rows {
-		if !visit(hash, row) {
-			delete(s.rows, hash)
-			t.count.Add(-1)
+	for j := 0; j < len(s.entries); {
+		e := s.entries[j]
+		if e.hash == 0 || visit(e.hash, e.row) {
+			j++
+			continue
 		}
+		s.remove(j) // A later row may take the place; it is visited next.
+		t.count.Add(-1)
 	}
 }
 
--- /dev/null
+++ b/core/zfserver/table_test.go
@@ -0,0 +1,102 @@
+package zfserver_test
+
+import (
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfserver"
+	"zinniafront/lab/zfassert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func announcement(sequence uint64, state zf.ServerState) zf.Announcement {
+	return zf.Announcement{
+		Server:  "s",
+		Service: "orders",
+		Capacity: zf.Capacity{
+			Slots:       2,
+			Connections: 2000,
+		},
+		State:    state,
+		Sequence: sequence,
+	}
+}
+
+func assertWeight(t *testing.T, table *zfserver.Table, least, most float64) {
+	t.Helper()
+	if w := table.Find("s").Weight(); w < least || w > most {
+		t.Fatalf("weight %g is not from %g to %g", w, least, most)
+	}
+}
+
+func TestTable(t *testing.T) {
+	t.Run("an announcement is taken once", func(t *testing.T) {
+		table := zfserver.New(zfserver.DefaultConfig())
+		zfassert.Equal(t, "first", table.Announce(announcement(2, zf.ServerWarm), true, start), zf.ReasonNone)
+		zfassert.Equal(t, "again", table.Announce(announcement(2, zf.ServerWarm), true, start), zf.ReasonStale)
+		zfassert.Equal(t, "older", table.Announce(announcement(1, zf.ServerWarm), true, start), zf.ReasonStale)
+	})
+	t.Run("one that is warm when first heard of gets its full weight", func(t *testing.T) {
+		table := zfserver.New(zfserver.DefaultConfig())
+		table.Announce(announcement(1, zf.ServerWarm), true, start)
+		assertWeight(t, table, 2000, 2000)
+	})
+	t.Run("silence ends new work, then everything", func(t *testing.T) {
+		config := zfserver.DefaultConfig()
+		table := zfserver.New(config)
+		table.Announce(announcement(1, zf.ServerWarm), true, start)
+		table.Tick(start.Add(config.Expiry))
+		zfassert.Equal(t, "status", table.Find("s").Status, zf.ServerSilent)
+		assertWeight(t, table, 0, 0)
+		table.Tick(start.Add(config.Gone))
+		zfassert.Equal(t, "status", table.Find("s").Status, zf.ServerGone)
+	})
+	t.Run("a cold one ramps up", func(t *testing.T) {
+		config := zfserver.DefaultConfig()
+		config.Expiry = time.Hour
+		table := zfserver.New(config)
+		table.Announce(announcement(1, zf.ServerCold), true, start)
+		assertWeight(t, table, 0, 2000*config.Floor)
+		last := 0.0
+		for now := start; now.Before(start.Add(config.Ramp)); now = now.Add(50 * time.Millisecond) {
+			table.Tick(now)
+			w := table.Find("s").Weight()
+			zfassert.True(t, "weight never falls", w >= last)
+			zfassert.AtMost(t, "step", w-last, 2000/8.0)
+			last = w
+		}
+		assertWeight(t, table, 0, 1000)
+		table.Announce(announcement(2, zf.ServerWarm), true, start.Add(config.Ramp))
+		for now := start.Add(config.Ramp); now.Before(start.Add(3 * config.Ramp)); now = now.Add(50 * time.Millisecond) {
+			table.Tick(now)
+		}
+		assertWeight(t, table, 2000, 2000)
+	})
+	t.Run("a draining one gets no weight", func(t *testing.T) {
+		table := zfserver.New(zfserver.DefaultConfig())
+		table.Announce(announcement(1, zf.ServerDraining), true, start)
+		assertWeight(t, table, 0, 0)
+	})
+	t.Run("news are told three times, repetitions once", func(t *testing.T) {
+		table := zfserver.New(zfserver.DefaultConfig())
+		table.Announce(announcement(1, zf.ServerWarm), true, start)
+		for range 3 {
+			zfassert.Equal(t, "told", len(table.TakeHeard()), 1)
+		}
+		zfassert.Equal(t, "told", len(table.TakeHeard()), 0)
+		table.Announce(announcement(2, zf.ServerWarm), true, start)
+		zfassert.Equal(t, "told", len(table.TakeHeard()), 1)
+		zfassert.Equal(t, "told", len(table.TakeHeard()), 0)
+	})
+	t.Run("the table is bounded", func(t *testing.T) {
+		config := zfserver.DefaultConfig()
+		config.Most = 1
+		table := zfserver.New(config)
+		table.Announce(announcement(1, zf.ServerWarm), true, start)
+		other := announcement(1, zf.ServerWarm)
+		other.Server = "t"
+		zfassert.Equal(t, "second", table.Announce(other, true, start), zf.ReasonFull)
+	})
+}
--- a/core/zfslot/handover.go
+++ b/core/zfslot/handover.go
@@ -73,6 +73,7 @@
 	previous, previousBackups := m.owners, m.backups
 	m.owners = ownersOf(m.view.Members)
 	m.backups = backupsOf(m.view.Members, m.owners)
+	m.ring = newRing(m.owners, m.backups)
 	h := m.handover
 	waiting := len(h.awaited) > 0
 	unsteady := now.Sub(h.since) < m.config.Handover
--- a/core/zfslot/mapper.go
+++ b/core/zfslot/mapper.go
@@ -1,7 +1,6 @@
 package zfslot
 
 import (
-	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +77,7 @@
 	owners   *buckets
 	owned    *[bucketCount]time.Time
 	backups  *buckets
+	ring     *ring
 	handover *handover
 	hints    *hints
 	rebinds  *rebinds
@@ -109,6 +109,7 @@
 		owners:   &buckets{},
 		owned:    &[bucketCount]time.Time{},
 		backups:  &buckets{},
+		ring:     &ring{},
 		handover: newHandover(),
 		hints:    newHints(),
 		rebinds:  newRebinds(),
@@ -350,12 +351,3 @@
 
 // Busy implements zinniafront.Mapper.
 func (m *Mapper) Busy() bool { return len(m.handover.batches) > 0 }
-
-// DebugFlow is temporary.
-func (m *Mapper) DebugFlow(hash uint64) string {
-	row, ok := m.flows.Touch(hash, zf.PacketMiddle, m.lastTick)
-	if !ok {
-		return "-"
-	}
-	return string(m.names.name(uint32(row.Server))) + " " + fmt.Sprint(row.Flags)
-}
--- a/core/zfslot/owner.go
+++ b/core/zfslot/owner.go
@@ -57,6 +57,35 @@
 	return &owners
 }
 
+// ring holds the owners and backups of the buckets as indexes of names, or -1.
+type ring struct {
+	names   []zf.InstanceName
+	owners  [bucketCount]int16
+	backups [bucketCount]int16
+}
+
+func newRing(owners, backups *buckets) *ring {
+	r := &ring{}
+	index := make(map[zf.InstanceName]int16)
+	indexOf := func(name zf.InstanceName) int16 {
+		if name == "" {
+			return -1
+		}
+		i, ok := index[name]
+		if !ok {
+			i = int16(len(r.names))
+			index[name] = i
+			r.names = append(r.names, name)
+		}
+		return i
+	}
+	for b := range owners {
+		r.owners[b] = indexOf(owners[b])
+		r.backups[b] = indexOf(backups[b])
+	}
+	return r
+}
+
 // coordinatorOf returns the member that writes a service's slot table: a ready
 // one, or any while none is ready.
 func coordinatorOf(members []zf.MemberView, service zf.ServiceName) int {
--- a/core/zfslot/route.go
+++ b/core/zfslot/route.go
@@ -1,6 +1,7 @@
 package zfslot
 
 import (
+	"net/netip"
 	"time"
 
 	zf "zinniafront"
@@ -13,27 +14,23 @@
 	if s == nil {
 		return drop(zf.ReasonNotReady)
 	}
-	service, ok := s.services[serviceKey{
-		address:  packet.Flow.Destination,
-		protocol: packet.Flow.Protocol,
-	}]
-	if !ok {
+	service := s.service(&packet.Flow)
+	if service == nil {
 		return drop(zf.ReasonUnknownService)
 	}
 	l := lookup{
 		snapshot: s,
 		service:  service,
 		hash:     zfflow.Hash(m.config.Seed, packet.Flow),
-		packet:   packet,
+		kind:     packet.Kind,
+		via:      packet.Relay,
 		now:      now,
 	}
 	l.slot = service.slots[int(l.hash)&(len(service.slots)-1)]
-	l.row, l.known = m.flows.Touch(l.hash, packet.Kind, now)
+	l.row, l.age, l.known = m.flows.Touch(l.hash, packet.Kind, now)
 	l.known = l.known && l.credible() && s.server(uint32(l.row.Server)).alive
-	fresh := l.known && m.flows.ConfirmedAfter(l.row, s.owned[bucketOf(l.hash)]) &&
-		m.flows.Age(l.row, now) < s.refresh
 	switch {
-	case fresh && packet.Kind == zf.PacketMiddle && !l.ownedHere():
+	case l.fresh():
 		return l.forward(uint32(l.row.Server))
 	case !service.usable && !l.known:
 		return drop(zf.ReasonIsolated)
@@ -51,12 +48,24 @@
 	slot     slotSnapshot
 	hash     uint64
 	row      zfflow.Row
+	age      time.Duration
 	known    bool
-	packet   zf.Packet
+	kind     zf.PacketKind
+	via      netip.AddrPort
 	now      time.Time
 }
 
-func (l *lookup) owner() int16 { return l.snapshot.owners[bucketOf(l.hash)] }
+// fresh reports whether the packet may follow what the present owner of its
+// flow told lately.
+func (l *lookup) fresh() bool {
+	if !l.known || l.kind != zf.PacketMiddle || l.ownedHere() || l.age >= l.snapshot.refresh {
+		return false
+	}
+	owned := l.snapshot.owned[bucketOf(l.hash)]
+	return owned.IsZero() || l.now.Sub(owned) > l.age+time.Second
+}
+
+func (l *lookup) owner() int16 { return l.snapshot.ring.owners[bucketOf(l.hash)] }
 
 func (l *lookup) ownedHere() bool { return l.owner() == l.snapshot.self }
 
@@ -68,7 +77,7 @@
 	return l.row.Flags&zfflow.FlagTentative == 0 || l.ownedHere() && !l.pending()
 }
 
-func (l *lookup) relayed() bool { return l.packet.Relay.IsValid() }
+func (l *lookup) relayed() bool { return l.via.IsValid() }
 
 func drop(reason zf.Reason) zf.Verdict {
 	return zf.Verdict{
@@ -99,7 +108,7 @@
 	owner := l.owner()
 	switch {
 	case l.slot.settled && (l.relayed() || !l.recent(owner)):
-		if l.packet.Kind == zf.PacketOpening {
+		if l.kind == zf.PacketOpening {
 			return l.open(l.slot.active)
 		}
 		return l.forward(l.slot.active)
@@ -147,15 +156,15 @@
 // earlier owner told counts no more, since a later one may not know of it.
 func (m *Mapper) routeByOwner(l *lookup) zf.Verdict {
 	switch {
-	case l.packet.Kind == zf.PacketOpening && l.slot.settled:
+	case l.kind == zf.PacketOpening && l.slot.settled:
 		verdict := l.relay(zf.ReasonOpening)
 		if verdict.Action == zf.ActionForward {
 			m.noteUnowned(l)
 		}
 		return verdict
-	case l.packet.Kind == zf.PacketOpening:
+	case l.kind == zf.PacketOpening:
 		return m.relayOpening(l)
-	case l.packet.Kind != zf.PacketMiddle:
+	case l.kind != zf.PacketMiddle:
 		return l.relay(zf.ReasonEnding)
 	case !l.slot.settled && l.known:
 		return l.relay(zf.ReasonRefresh)
@@ -186,7 +195,7 @@
 // owner by way of the backup, so that two instances know of the flow without
 // a message. The backup predicts the server from its own slot table.
 func (m *Mapper) relayOpening(l *lookup) zf.Verdict {
-	owner, backup := l.owner(), l.snapshot.backups[bucketOf(l.hash)]
+	owner, backup := l.owner(), l.snapshot.ring.backups[bucketOf(l.hash)]
 	switch {
 	case owner < 0:
 		return drop(zf.ReasonNoOwner)
@@ -206,7 +215,7 @@
 // routeOwned decides a packet of a flow that this instance owns. An unknown
 // flow of an unsettled slot is with the base.
 func (m *Mapper) routeOwned(l *lookup) zf.Verdict {
-	if l.packet.Kind == zf.PacketOpening {
+	if l.kind == zf.PacketOpening {
 		return m.openOwned(l)
 	}
 	if !l.known && !l.slot.settled && l.pending() {
@@ -254,7 +263,7 @@
 	if !l.known && !l.slot.settled && l.pending() {
 		return drop(zf.ReasonOwnerPending)
 	}
-	if backup := l.snapshot.backups[bucketOf(l.hash)]; !l.slot.settled && !l.relayed() && l.recent(backup) {
+	if backup := l.snapshot.ring.backups[bucketOf(l.hash)]; !l.slot.settled && !l.relayed() && l.recent(backup) {
 		return l.relayTo(backup, zf.ReasonBackup) // It comes back once the backup knows of the flow.
 	}
 	server := l.slot.active
@@ -305,7 +314,7 @@
 // relayed a packet.
 func (m *Mapper) tell(l *lookup, server, version uint32) {
 	ended := l.row.Flags&zfflow.FlagEnded != 0
-	opening := l.packet.Kind == zf.PacketOpening
+	opening := l.kind == zf.PacketOpening
 	if l.slot.settled || ended && !opening {
 		return
 	}
@@ -315,11 +324,11 @@
 		version: version,
 		service: l.service.index,
 	}
-	if opening || !l.known || m.flows.Confirm(l.hash, l.service.idle/2, l.now) {
+	if opening || !l.known || l.age >= l.service.idle/2 && m.flows.Confirm(l.hash, l.service.idle/2, l.now) {
 		m.hints.push(h)
 	}
 	if l.relayed() && !opening {
-		h.relay = l.packet.Relay
+		h.relay = l.via
 		m.hints.push(h)
 	}
 }
--- a/core/zfslot/snapshot.go
+++ b/core/zfslot/snapshot.go
@@ -1,6 +1,7 @@
 package zfslot
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -10,14 +11,17 @@
 // snapshot is what the traffic goroutines read. It is never changed once it
 // is published.
 type snapshot struct {
-	services map[serviceKey]*serviceSnapshot
-	servers  []serverSnapshot
-	members  []memberSnapshot
-	// owners and backups hold the members that own each bucket and that would
-	// own it next, or -1; pending tells that this instance owns a bucket whose
-	// rows have not all come in yet.
-	owners  [bucketCount]int16
-	backups [bucketCount]int16
+	// services4 holds the services at IPv4 addresses by a number made of
+	// address, port and protocol, services6 all others.
+	services4 map[uint64]*serviceSnapshot
+	services6 map[serviceKey]*serviceSnapshot
+	tables    []*serviceSnapshot
+	servers   []serverSnapshot
+	members   []memberSnapshot
+	// ring holds the members that own each bucket and that would own it next,
+	// as indexes of members; pending tells that this instance owns a bucket
+	// whose rows have not all come in yet.
+	ring    *ring
 	pending [bucketCount]bool
 	// owned holds since when each bucket has its owner.
 	owned   *[bucketCount]time.Time
@@ -55,12 +59,44 @@
 	allowed   bool
 }
 
+// noMember is the index of an instance that owns nothing.
+const noMember int16 = -2
+
 type memberSnapshot struct {
 	name   zf.InstanceName
 	relay  netip.AddrPort
 	recent bool
 }
 
+// number4 makes one number of an IPv4 address, a port and a protocol.
+func number4(address netip.AddrPort, protocol zf.Protocol) uint64 {
+	b := address.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(b[:]))<<32 | uint64(address.Port())<<16 | uint64(protocol)
+}
+
+// service returns the service that a flow is for, or nil.
+func (s *snapshot) service(flow *zf.Flow) *serviceSnapshot {
+	if flow.Destination.Addr().Is4() {
+		return s.services4[number4(flow.Destination, flow.Protocol)]
+	}
+	return s.services6[serviceKey{
+		address:  flow.Destination,
+		protocol: flow.Protocol,
+	}]
+}
+
+// add puts a service at an address.
+func (s *snapshot) add(service *serviceSnapshot, address netip.AddrPort, protocol zf.Protocol) {
+	if address.Addr().Is4() {
+		s.services4[number4(address, protocol)] = service
+		return
+	}
+	s.services6[serviceKey{
+		address:  address,
+		protocol: protocol,
+	}] = service
+}
+
 // server returns the state of a backend server. One that has not been heard of
 // counts as alive without an address.
 func (s *snapshot) server(index uint32) serverSnapshot {
@@ -78,12 +114,13 @@
 func (m *Mapper) publish(now time.Time) {
 	previous := m.current.Load()
 	next := &snapshot{
-		services: make(map[serviceKey]*serviceSnapshot),
-		servers:  m.serverSnapshots(now),
-		members:  make([]memberSnapshot, 0, len(m.view.Members)),
-		owned:    m.owned,
-		self:     -1,
-		refresh:  m.config.Refresh,
+		services4: make(map[uint64]*serviceSnapshot),
+		services6: make(map[serviceKey]*serviceSnapshot),
+		servers:   m.serverSnapshots(now),
+		members:   make([]memberSnapshot, 0, len(m.view.Members)),
+		owned:     m.owned,
+		self:      noMember,
+		refresh:   m.config.Refresh,
 	}
 	m.snapshotMembers(next)
 	for _, t := range m.tables {
@@ -97,43 +134,36 @@
 			slots:  m.slotSnapshots(t, previous),
 		}
 		for _, address := range t.view.Addresses {
-			next.services[serviceKey{
-				address:  address,
-				protocol: t.view.Protocol,
-			}] = service
+			next.add(service, address, t.view.Protocol)
 		}
+		next.tables = append(next.tables, service)
 	}
 	m.current.Store(next)
 }
 
+// snapshotMembers lists the members in the order of the ring.
 func (m *Mapper) snapshotMembers(next *snapshot) {
-	index := make(map[zf.InstanceName]int16, len(m.view.Members))
-	for i, member := range m.view.Members {
-		index[member.Name] = int16(i)
-		next.members = append(next.members, memberSnapshot{
-			name:   member.Name,
-			relay:  member.Relay,
-			recent: member.Recent,
-		})
-	}
-	if self, ok := index[m.view.Self]; ok {
-		next.self = self
+	next.ring = m.ring
+	for i, name := range m.ring.names {
+		member := memberSnapshot{
+			name: name,
+		}
+		for j := range m.view.Members {
+			if m.view.Members[j].Name == name {
+				member.relay = m.view.Members[j].Relay
+				member.recent = m.view.Members[j].Recent
+			}
+		}
+		if name == m.view.Self {
+			next.self = int16(i)
+		}
+		next.members = append(next.members, member)
 	}
-	for b := range m.owners {
-		next.owners[b] = indexOr(index, m.owners[b])
-		next.backups[b] = indexOr(index, m.backups[b])
+	for b := range next.pending {
 		next.pending[b] = m.handover.pending(b)
 	}
 }
 
-// indexOr returns the index of a member, or -1.
-func indexOr(index map[zf.InstanceName]int16, name zf.InstanceName) int16 {
-	if i, ok := index[name]; ok {
-		return i
-	}
-	return -1
-}
-
 func (m *Mapper) serverSnapshots(now time.Time) []serverSnapshot {
 	servers := make([]serverSnapshot, len(m.names.list))
 	for i := range servers {
@@ -158,7 +188,7 @@
 
 func (m *Mapper) slotSnapshots(t *table, previous *snapshot) []slotSnapshot {
 	if !t.dirty && previous != nil {
-		for _, service := range previous.services {
+		for _, service := range previous.tables {
 			if service.index == t.index {
 				return service.slots
 			}
--- a/lab/zfregion/explore_test.go
+++ b/lab/zfregion/explore_test.go
@@ -1,7 +1,6 @@
 package zfregion_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -9,8 +8,6 @@
 	"time"
 
 	zf "zinniafront"
-	"zinniafront/core/zfflow"
-	"zinniafront/core/zfslot"
 	"zinniafront/lab/zfregion"
 )
 
@@ -28,24 +25,13 @@
 		cfg.Links.Doubled = 0.01
 		cfg.Spread = 5 * time.Second
 		var lines []string
-		var rr *zfregion.Region
 		src := os.Getenv("SRC")
 		cfg.Trace = func(p zf.Packet, line string) {
 			if src != "" && p.Flow.Source.String() == src {
-				for i, in := range rr.Instances() {
-					if in.Up {
-						svc := "orders"
-						if p.Flow.Destination.Addr().As4()[3] == 1 {
-							svc = "images"
-						}
-						lines = append(lines, fmt.Sprint("   ", i, in.World.Mapper().(*zfslot.Mapper).DebugRow(svc, zfflow.Hash(7, p.Flow)), in.World.Mapper().(*zfslot.Mapper).DebugFlow(zfflow.Hash(7, p.Flow))))
-					}
-				}
 				lines = append(lines, line)
 			}
 		}
 		r := zfregion.New(cfg)
-		rr = r
 		if !r.Until(30*time.Second, func() bool { return len(r.Ready()) == 9 }) {
 			t.Errorf("seed %d not ready", seed)
 			continue
@@ -64,27 +50,11 @@
 			e := zfregion.Event{After: time.Duration(rnd.IntN(8000)) * time.Millisecond, Action: acts[rnd.IntN(len(acts))], Target: rnd.IntN(30)}
 			events = append(events, e)
 			r.Advance(e.After)
-			if os.Getenv("HAND") != "" {
-				t.Log(r.Elapsed(), "before", e)
-				for i, in := range r.Instances() {
-					if in.Up {
-						t.Log("  ", i, in.World.Mapper().(*zfslot.Mapper).DebugHandover())
-					}
-				}
-			}
 			r.Apply(e)
 		}
 		r.Heal()
 		for range 8 {
 			r.Advance(5 * time.Second)
-			if os.Getenv("HAND") != "" {
-				t.Log(r.Elapsed(), "after")
-				for i, in := range r.Instances() {
-					if in.Up {
-						t.Log("  ", i, in.World.Mapper().(*zfslot.Mapper).DebugHandover())
-					}
-				}
-			}
 		}
 		res := r.Flows().Result()
 		late, foreign := 0, 0
