--- /dev/null
+++ b/io/zfannounce/listener_test.go
@@ -0,0 +1,99 @@
+package zfannounce_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	zf "zinniafront"
+	"zinniafront/io/zfannounce"
+	"zinniafront/io/zfdocument"
+	"zinniafront/io/zfkey"
+	"zinniafront/lab/zfassert"
+)
+
+// clock is a fake clock that stands still.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func (c *clock) After(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
+
+var key = zfkey.SharedKey("0123456789abcdef0123456789abcdef")
+
+func newDecoder() *zfannounce.Decoder {
+	return zfannounce.NewDecoder(zfannounce.Config{
+		Verifier: key,
+		Clock:    &clock{now: time.Unix(1, 0)},
+	})
+}
+
+func datagram(t testing.TB, server zf.ServerName) []byte {
+	t.Helper()
+	text, err := zfdocument.FormatAnnouncement(zf.Announcement{
+		Server:   server,
+		Service:  "orders",
+		Centre:   "one",
+		Address:  netip.MustParseAddrPort("10.0.0.1:1"),
+		Web:      netip.MustParseAddrPort("10.0.0.1:2"),
+		Capacity: zf.Capacity{Slots: 2, Connections: 2000},
+		State:    zf.ServerWarm,
+		Sequence: 1,
+	})
+	zfassert.NoError(t, err)
+	signed, err := key.Sign(text)
+	zfassert.NoError(t, err)
+	return signed
+}
+
+func assertReason(t testing.TB, err error, want zf.Reason) {
+	t.Helper()
+	var wire *zf.WireError
+	zfassert.True(t, "wire error", errors.As(err, &wire))
+	zfassert.Equal(t, "reason", wire.Reason.String(), want.String())
+}
+
+func TestDecode(t *testing.T) {
+	t.Run("taken", func(t *testing.T) {
+		announcement, err := newDecoder().Decode(datagram(t, "s"))
+		zfassert.NoError(t, err)
+		zfassert.Equal(t, "server", announcement.Server, zf.ServerName("s"))
+	})
+	t.Run("too large", func(t *testing.T) {
+		_, err := newDecoder().Decode(make([]byte, zfannounce.MostBytes+1))
+		assertReason(t, err, zf.ReasonTooLarge)
+	})
+	t.Run("unsigned", func(t *testing.T) {
+		_, err := newDecoder().Decode([]byte("{}"))
+		assertReason(t, err, zf.ReasonBadSignature)
+	})
+	t.Run("a bad field", func(t *testing.T) {
+		signed, err := key.Sign([]byte(`{"format":1}`))
+		zfassert.NoError(t, err)
+		_, err = newDecoder().Decode(signed)
+		assertReason(t, err, zf.ReasonBadField)
+	})
+	t.Run("too many of one backend server", func(t *testing.T) {
+		decoder := newDecoder()
+		var err error
+		for range 11 {
+			_, err = decoder.Decode(datagram(t, "s"))
+		}
+		assertReason(t, err, zf.ReasonRateLimited)
+		_, err = decoder.Decode(datagram(t, "other"))
+		zfassert.NoError(t, err)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(datagram(f, "s"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := newDecoder().Decode(data)
+		var wire *zf.WireError
+		if err != nil && !errors.As(err, &wire) {
+			t.Fatalf("error of another kind: %v", err)
+		}
+	})
+}
--- a/io/zfdocument/bundle.go
+++ b/io/zfdocument/bundle.go
@@ -71,15 +71,13 @@
 // Bundle reads a bundle. Its errors about the document are of type *Error.
 func Bundle(text []byte) (*zfbundle.Bundle, error) {
 	var document bundleDocument
-	if err := load(KindBundle, text, &document); err != nil {
+	err := load(KindBundle, text, &document)
+	if err != nil && json.Unmarshal(text, &document) != nil {
 		return nil, err
 	}
 	bundle := document.bundle()
-	if faults := bundle.Check(); len(faults) > 0 {
-		return nil, &Error{
-			Kind:   KindBundle,
-			Faults: faults,
-		}
+	if err := join(KindBundle, err, bundle.Check()); err != nil {
+		return nil, err
 	}
 	return bundle, nil
 }
--- /dev/null
+++ b/io/zfdocument/document_test.go
@@ -0,0 +1,96 @@
+package zfdocument_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/pkg/errors"
+
+	"zinniafront/io/zfdocument"
+	"zinniafront/lab/zfassert"
+)
+
+// read reads one document of a kind and returns what a user sees.
+func read(kind, text string) string {
+	var err error
+	switch kind {
+	case "bundle":
+		_, err = zfdocument.Bundle([]byte(text))
+	case "settings":
+		_, err = zfdocument.ReadSettings([]byte(text), "/")
+	default:
+		_, err = zfdocument.Announcement([]byte(text))
+	}
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	return "valid\n"
+}
+
+func TestDocuments(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
+			return read(d.Cmd, d.Input)
+		})
+	})
+}
+
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"collarcraft", "derwent"} {
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(filepath.Join("..", "..", "examples", name+".json"))
+			zfassert.NoError(t, err)
+			bundle, err := zfdocument.Bundle(text)
+			zfassert.NoError(t, err)
+			zfassert.Equal(t, "name", bundle.Name, name)
+		})
+	}
+	paths, err := filepath.Glob(filepath.Join("..", "..", "examples", "settings", "*.json"))
+	zfassert.NoError(t, err)
+	zfassert.True(t, "settings", len(paths) >= 3)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			text, err := os.ReadFile(path)
+			zfassert.NoError(t, err)
+			_, err = zfdocument.ReadSettings(text, filepath.Dir(path))
+			zfassert.NoError(t, err)
+		})
+	}
+}
+
+// fuzz checks that a reader never fails but with faults.
+func fuzz(f *testing.F, read func([]byte) error) {
+	f.Add([]byte(`{"format":1}`))
+	f.Add([]byte(`{"format":1,"format":1}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var faulty *zfdocument.Error
+		if err := read(text); err != nil && !errors.As(err, &faulty) {
+			t.Fatalf("error of another kind: %v", err)
+		}
+	})
+}
+
+func FuzzBundle(f *testing.F) {
+	text, _ := os.ReadFile(filepath.Join("..", "..", "examples", "collarcraft.json"))
+	f.Add(text)
+	fuzz(f, func(text []byte) error {
+		_, err := zfdocument.Bundle(text)
+		return err
+	})
+}
+
+func FuzzSettings(f *testing.F) {
+	fuzz(f, func(text []byte) error {
+		_, err := zfdocument.ReadSettings(text, "/")
+		return err
+	})
+}
+
+func FuzzAnnouncement(f *testing.F) {
+	fuzz(f, func(text []byte) error {
+		_, err := zfdocument.Announcement(text)
+		return err
+	})
+}
--- a/io/zfdocument/loader.go
+++ b/io/zfdocument/loader.go
@@ -4,10 +4,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"embed"
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -137,9 +139,39 @@
 		}
 	}
 	visit(invalid)
+	sortFaults(faults)
 	return faults
 }
 
+func sortFaults(faults []zfbundle.Fault) {
+	slices.SortFunc(faults, func(a, b zfbundle.Fault) int {
+		return cmp.Or(strings.Compare(a.Path, b.Path), strings.Compare(a.Problem, b.Problem))
+	})
+}
+
+// join adds the faults that the schema can't express to those that it found.
+// A place that the schema faults is not named twice.
+func join(kind Kind, err error, more []zfbundle.Fault) error {
+	joined := &Error{
+		Kind: kind,
+	}
+	var found *Error
+	if errors.As(err, &found) {
+		joined.Faults = append(joined.Faults, found.Faults...)
+	}
+	for _, fault := range more {
+		named := slices.ContainsFunc(joined.Faults, func(f zfbundle.Fault) bool { return f.Path == fault.Path })
+		if !named || found == nil {
+			joined.Faults = append(joined.Faults, fault)
+		}
+	}
+	if len(joined.Faults) == 0 {
+		return err
+	}
+	sortFaults(joined.Faults)
+	return joined
+}
+
 // checkKeys returns the first fault of syntax or a key that stands twice in
 // one object; the decoders would keep the last one silently.
 func checkKeys(text []byte) *zfbundle.Fault {
--- a/io/zfdocument/settings.go
+++ b/io/zfdocument/settings.go
@@ -1,6 +1,7 @@
 package zfdocument
 
 import (
+	"encoding/json"
 	"net/netip"
 	"path/filepath"
 	"slices"
@@ -108,15 +109,13 @@
 // errors about the document are of type *Error.
 func ReadSettings(text []byte, folder string) (*Settings, error) {
 	var document settingsDocument
-	if err := load(KindSettings, text, &document); err != nil {
+	err := load(KindSettings, text, &document)
+	if err != nil && json.Unmarshal(text, &document) != nil {
 		return nil, err
 	}
 	settings := document.settings(folder)
-	if faults := settings.check(); len(faults) > 0 {
-		return nil, &Error{
-			Kind:   KindSettings,
-			Faults: faults,
-		}
+	if err := join(KindSettings, err, settings.check()); err != nil {
+		return nil, err
 	}
 	return settings, nil
 }
@@ -219,11 +218,8 @@
 	if len(s.Keys.Trusted) == 0 {
 		add("/keys/trusted", "is empty", "at least one public key of an operator")
 	}
-	slices.SortFunc(faults, func(a, b zfbundle.Fault) int {
-		if a.Path < b.Path {
-			return -1
-		}
-		return 1
-	})
+	if !s.Plain {
+		add("/plain", "is not set", "true, as connections between processes have no TLS yet")
+	}
 	return faults
 }
--- /dev/null
+++ b/io/zfkey/key_test.go
@@ -0,0 +1,91 @@
+package zfkey_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"zinniafront/io/zfkey"
+	"zinniafront/lab/zfassert"
+)
+
+func newSign(t *testing.T) (private, public string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "ops.key")
+	_, err := zfkey.NewSign(path)
+	zfassert.NoError(t, err)
+	return path, path + ".pub"
+}
+
+func newShared(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "shared.key")
+	_, err := zfkey.NewShared(path)
+	zfassert.NoError(t, err)
+	return path
+}
+
+func TestSign(t *testing.T) {
+	private, public := newSign(t)
+	key, err := zfkey.ReadSign(private)
+	zfassert.NoError(t, err)
+	trusted, err := zfkey.ReadTrusted([]string{public})
+	zfassert.NoError(t, err)
+	signed, err := key.Sign([]byte("text"))
+	zfassert.NoError(t, err)
+	t.Run("verified", func(t *testing.T) {
+		document, err := trusted.Verify(signed)
+		zfassert.NoError(t, err)
+		zfassert.Equal(t, "document", string(document), "text")
+	})
+	t.Run("another key is not trusted", func(t *testing.T) {
+		_, other := newSign(t)
+		strangers, err := zfkey.ReadTrusted([]string{other})
+		zfassert.NoError(t, err)
+		_, err = strangers.Verify(signed)
+		zfassert.ErrorIs(t, err, zfkey.ErrSignature)
+	})
+	t.Run("every changed byte is refused", func(t *testing.T) {
+		for i := range signed {
+			changed := append([]byte(nil), signed...)
+			changed[i] ^= 0x10
+			_, err := trusted.Verify(changed)
+			zfassert.ErrorIs(t, err, zfkey.ErrSignature)
+		}
+	})
+	t.Run("a shared key is no signature", func(t *testing.T) {
+		shared, err := zfkey.ReadShared(newShared(t))
+		zfassert.NoError(t, err)
+		mac, err := shared.Sign([]byte("text"))
+		zfassert.NoError(t, err)
+		_, err = trusted.Verify(mac)
+		zfassert.ErrorIs(t, err, zfkey.ErrSignature)
+	})
+}
+
+func TestFiles(t *testing.T) {
+	t.Run("a private key that others can read is refused", func(t *testing.T) {
+		private, _ := newSign(t)
+		zfassert.NoError(t, os.Chmod(private, 0o640))
+		_, err := zfkey.ReadSign(private)
+		zfassert.ErrorIs(t, err, zfkey.ErrMode)
+	})
+	t.Run("an existing file is kept", func(t *testing.T) {
+		private, _ := newSign(t)
+		_, err := zfkey.NewSign(private)
+		zfassert.ErrorIs(t, err, zfkey.ErrExists)
+	})
+	t.Run("a key of another kind is refused", func(t *testing.T) {
+		_, err := zfkey.ReadSign(newShared(t))
+		zfassert.ErrorIs(t, err, zfkey.ErrKind)
+		private, _ := newSign(t)
+		_, err = zfkey.ReadShared(private)
+		zfassert.ErrorIs(t, err, zfkey.ErrKind)
+	})
+	t.Run("text that is no key is refused", func(t *testing.T) {
+		path := filepath.Join(t.TempDir(), "key")
+		zfassert.NoError(t, os.WriteFile(path, []byte("{}"), 0o600))
+		_, err := zfkey.ReadSign(path)
+		zfassert.ErrorIs(t, err, zfkey.ErrFormat)
+	})
+}
--- /dev/null
+++ b/io/zfoperator/operator_test.go
@@ -0,0 +1,170 @@
+package zfoperator_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"zinniafront/core/zfcontrol"
+	"zinniafront/io/zfclock"
+	"zinniafront/io/zfevent"
+	"zinniafront/io/zfkey"
+	"zinniafront/io/zfoperator"
+	"zinniafront/lab/zfassert"
+)
+
+// memory is a store that can fail.
+type memory struct {
+	document []byte
+	fail     error
+}
+
+func (m *memory) Load() ([]byte, error) { return m.document, nil }
+
+func (m *memory) Save(document []byte) error {
+	if m.fail == nil {
+		m.document = document
+	}
+	return m.fail
+}
+
+// control is a control instance with a client and a key that it trusts.
+type control struct {
+	client *zfoperator.Client
+	server *zfoperator.Server
+	store  *memory
+	key    *zfkey.SignKey
+	config zfoperator.Config
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	zfassert.NoError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newControl(t *testing.T) *control {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "ops.key")
+	_, err := zfkey.NewSign(path)
+	zfassert.NoError(t, err)
+	key, err := zfkey.ReadSign(path)
+	zfassert.NoError(t, err)
+	trusted, err := zfkey.ReadTrusted([]string{path + ".pub"})
+	zfassert.NoError(t, err)
+	c := &control{
+		store: &memory{},
+		key:   key,
+	}
+	c.config = zfoperator.Config{
+		Address:  freeAddress(t),
+		Store:    c.store,
+		Verifier: trusted,
+		Clock:    zfclock.System{},
+		Logger:   zfevent.New(zfevent.Config{Output: io.Discard, Level: "error"}),
+	}
+	c.start(t)
+	return c
+}
+
+func (c *control) start(t *testing.T) {
+	t.Helper()
+	server, err := zfoperator.Listen(c.config)
+	zfassert.NoError(t, err)
+	c.server = server
+	go server.Run()
+	t.Cleanup(func() { _ = server.Close() })
+	c.client = zfoperator.NewClient([]netip.AddrPort{c.config.Address})
+}
+
+// signed returns the example bundle under a version.
+func (c *control) signed(t *testing.T, version string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "examples", "collarcraft.json"))
+	zfassert.NoError(t, err)
+	changed := strings.Replace(string(text), `"version": 1`, `"version": `+version, 1)
+	signed, err := c.key.Sign([]byte(changed))
+	zfassert.NoError(t, err)
+	return signed
+}
+
+func (c *control) accept(t *testing.T, version string) zfcontrol.Outcome {
+	t.Helper()
+	reply, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{Signed: c.signed(t, version)})
+	zfassert.NoError(t, err)
+	return reply.Outcome
+}
+
+func (c *control) roll(t *testing.T, version uint64) zfcontrol.Outcome {
+	t.Helper()
+	reply, err := c.client.Roll(context.Background(), zfoperator.RollArgs{Version: version})
+	zfassert.NoError(t, err)
+	return reply.Outcome
+}
+
+func assertStatus(t *testing.T, outcome zfcontrol.Outcome, want zfcontrol.Status) {
+	t.Helper()
+	zfassert.Equal(t, "status", outcome.Status.String(), want.String())
+}
+
+func TestControl(t *testing.T) {
+	t.Run("accepted, rolled and fetched", func(t *testing.T) {
+		c := newControl(t)
+		assertStatus(t, c.accept(t, "1"), zfcontrol.StatusDone)
+		assertStatus(t, c.roll(t, 1), zfcontrol.StatusDone)
+		reply, err := c.client.Fetch(context.Background(), zfoperator.FetchArgs{Instance: "e"})
+		zfassert.NoError(t, err)
+		zfassert.Equal(t, "sequence", reply.Sequence, uint64(2))
+		zfassert.True(t, "signed", len(reply.Signed) > 0)
+	})
+	t.Run("a fetch waits for news", func(t *testing.T) {
+		c := newControl(t)
+		c.accept(t, "1")
+		fetched := make(chan zfoperator.FetchReply, 1)
+		go func() {
+			reply, _ := c.client.Fetch(context.Background(), zfoperator.FetchArgs{Instance: "e", Sequence: 1, Wait: 20 * time.Second})
+			fetched <- reply
+		}()
+		c.roll(t, 1)
+		zfassert.Equal(t, "sequence", (<-fetched).Sequence, uint64(2))
+	})
+	t.Run("state survives a restart", func(t *testing.T) {
+		c := newControl(t)
+		c.accept(t, "1")
+		c.roll(t, 1)
+		zfassert.NoError(t, c.server.Close())
+		c.start(t)
+		status, err := c.client.Status(context.Background())
+		zfassert.NoError(t, err)
+		zfassert.Equal(t, "version", status.State.InForce, uint64(1))
+		assertStatus(t, c.accept(t, "1"), zfcontrol.StatusAlready)
+	})
+	t.Run("an unsigned bundle is refused", func(t *testing.T) {
+		c := newControl(t)
+		_, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{Signed: []byte("x")})
+		zfassert.Contains(t, err.Error(), "nothing was accepted")
+	})
+	t.Run("a state that can't be saved changes nothing", func(t *testing.T) {
+		c := newControl(t)
+		c.store.fail = errors.New("disk is full")
+		_, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{Signed: c.signed(t, "1")})
+		zfassert.Contains(t, err.Error(), "nothing was accepted")
+		c.store.fail = nil
+		assertStatus(t, c.accept(t, "1"), zfcontrol.StatusDone)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		client := zfoperator.NewClient([]netip.AddrPort{freeAddress(t)})
+		_, err := client.Status(context.Background())
+		zfassert.ErrorIs(t, err, zfoperator.ErrUnreachable)
+	})
+}
--- a/io/zfwire/codec.go
+++ b/io/zfwire/codec.go
@@ -110,7 +110,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode frame")
 	}
-	return append(datagram, c.mac(datagram)...), nil
+	return c.Seal(datagram), nil
+}
+
+// Seal adds the authentication code to a body.
+func (c *Codec) Seal(body []byte) []byte {
+	return append(body[:len(body):len(body)], c.mac(body)...)
 }
 
 func (c *Codec) mac(data []byte) []byte {
