--- /dev/null
+++ b/core/zfreplica/mapper.go
@@ -0,0 +1,138 @@
+// Package zfreplica maps flows to backend servers by rendezvous hashing and
+// tells every instance of each new flow: the second baseline. It keeps flows
+// while messages come in time, at a cost for each flow and instance.
+package zfreplica
+
+import (
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfflow"
+	"zinniafront/core/zfrendezvous"
+)
+
+const (
+	// queued bounds the flows that wait for the control goroutine.
+	queued = 65536
+	// batchRows is the number of flows in one message.
+	batchRows = 64
+	// idle is how long a flow lives without a packet.
+	idle = 30 * time.Minute
+	most = 4 << 20
+)
+
+// Config holds the constants of a mapper.
+type Config struct {
+	// Seed is the secret that flows are hashed with, equal at all instances.
+	Seed  uint64
+	Start time.Time
+}
+
+// Mapper implements zinniafront.Mapper.
+type Mapper struct {
+	*zfrendezvous.Mapper
+	config Config
+	flows  *zfflow.Table
+	opened chan zf.FlowRow
+	byID   map[zf.ServerID]zf.ServerView
+	byName map[zf.ServerName]zf.ServerID
+	sent   int
+}
+
+// New returns a mapper without tables.
+func New(config Config) *Mapper {
+	return &Mapper{
+		Mapper: zfrendezvous.New(zfrendezvous.Config{
+			Seed: config.Seed,
+		}),
+		config: config,
+		flows: zfflow.New(zfflow.Config{
+			Start: config.Start,
+			Most:  most,
+		}),
+		opened: make(chan zf.FlowRow, queued),
+	}
+}
+
+// Route implements zinniafront.Mapper. It belongs to runs on one goroutine,
+// since it reads the control goroutine's tables.
+func (m *Mapper) Route(packet zf.Packet, now time.Time) zf.Verdict {
+	hash := zfflow.Hash(m.config.Seed, packet.Flow)
+	row, _, known := m.flows.Touch(hash, packet.Kind, now)
+	if known {
+		if server, ok := m.byID[row.Server]; ok && server.Allowed && server.State != zf.ServerGone {
+			return zf.Verdict{
+				Action: zf.ActionForward,
+				To:     server.Address,
+				Server: server.ID,
+			}
+		}
+	}
+	verdict := m.Mapper.Route(packet, now)
+	if verdict.Action == zf.ActionForward {
+		m.flows.Learn(hash, zfflow.Row{
+			Server: verdict.Server,
+		}, now)
+		select {
+		case m.opened <- zf.FlowRow{Hash: hash, Server: m.byID[verdict.Server].Name}:
+		default:
+		}
+	}
+	return verdict
+}
+
+// Tick implements zinniafront.Mapper.
+func (m *Mapper) Tick(now time.Time, view zf.View) []zf.Envelope {
+	m.Mapper.Tick(now, view)
+	m.byID = make(map[zf.ServerID]zf.ServerView, len(view.Servers))
+	m.byName = make(map[zf.ServerName]zf.ServerID, len(view.Servers))
+	for _, server := range view.Servers {
+		m.byID[server.ID] = server
+		m.byName[server.Name] = server.ID
+	}
+	m.flows.Sweep(now, func(uint64, zfflow.Row) time.Duration { return idle })
+	rows := make([]zf.FlowRow, 0, len(m.opened))
+	for range len(m.opened) {
+		rows = append(rows, <-m.opened)
+	}
+	m.sent += len(rows)
+	envelopes := make([]zf.Envelope, 0, len(view.Members))
+	for len(rows) > 0 {
+		n := min(batchRows, len(rows))
+		for _, member := range view.Members {
+			if member.Name != view.Self {
+				envelopes = append(envelopes, zf.Envelope{
+					To:      member.Name,
+					Address: member.Control,
+					Message: zf.FlowRows{Rows: rows[:n]},
+				})
+			}
+		}
+		rows = rows[n:]
+	}
+	return envelopes
+}
+
+// Receive implements zinniafront.Mapper.
+func (m *Mapper) Receive(_ zf.InstanceName, message zf.Message, now time.Time) {
+	told, ok := message.(zf.FlowRows)
+	if !ok {
+		return
+	}
+	for _, row := range told.Rows {
+		if id, known := m.byName[row.Server]; known {
+			m.flows.Learn(row.Hash, zfflow.Row{
+				Server: id,
+			}, now)
+		}
+	}
+}
+
+// Stats implements zinniafront.Mapper.
+func (m *Mapper) Stats() zf.MapperStats {
+	return zf.MapperStats{
+		Flows:     m.flows.Len(),
+		FlowBytes: m.flows.Bytes(),
+		HintsSent: m.sent,
+	}
+}
--- a/core/zfslot/handover.go
+++ b/core/zfslot/handover.go
@@ -254,7 +254,7 @@
 		if wait || now.Sub(b.sent) < m.config.Resend {
 			continue
 		}
-		if !m.limiter.AllowN(now, flowRowsBytes+flowRowBytes*len(b.message.Rows)) {
+		if !m.moveRate.AllowN(now, flowRowsBytes+flowRowBytes*len(b.message.Rows)) {
 			return
 		}
 		b.sent = now
--- a/core/zfslot/hint.go
+++ b/core/zfslot/hint.go
@@ -49,7 +49,7 @@
 		if name == "" || name == m.view.Self {
 			continue
 		}
-		if !m.limiter.AllowN(now, flowRowBytes) {
+		if !m.hintRate.AllowN(now, flowRowBytes) {
 			m.stats.HintsDeferred++
 			continue
 		}
--- a/core/zfslot/mapper.go
+++ b/core/zfslot/mapper.go
@@ -28,32 +28,46 @@
 	Grace time.Duration
 	// Handover bounds how long a new owner waits for the rows of its flows.
 	Handover time.Duration
-	// Budget is the number of bytes a second for rows of flows, Burst the
-	// number that may be spent at once.
-	Budget int
-	Burst  int
+	// Hints and Handovers bound the bytes of rows of flows.
+	Hints     Budget
+	Handovers Budget
 	// Tolerance is the share by which a backend server's slots may miss its
 	// target before slots move for balance alone.
 	Tolerance float64
 	// Flows is the number of flows that the table takes.
 	Flows int
-	// Eager lets the coordinator set Active without waiting for
-	// acknowledgements. It is unsafe, and serves to show that.
-	Eager bool
+}
+
+// Budget bounds bytes sent over time.
+type Budget struct {
+	// Rate is the number of bytes a second, Burst the number that may be spent
+	// at once.
+	Rate  int
+	Burst int
+}
+
+func (b Budget) limiter() *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(b.Rate), b.Burst)
 }
 
 // DefaultConfig returns the constants for production.
 func DefaultConfig(seed uint64, start time.Time) Config {
 	return Config{
-		Seed:      seed,
-		Start:     start,
-		Boot:      1500 * time.Millisecond,
-		Refresh:   2 * time.Minute,
-		Resend:    300 * time.Millisecond,
-		Grace:     700 * time.Millisecond,
-		Handover:  20 * time.Second,
-		Budget:    3000,
-		Burst:     256 << 10,
+		Seed:     seed,
+		Start:    start,
+		Boot:     1500 * time.Millisecond,
+		Refresh:  2 * time.Minute,
+		Resend:   300 * time.Millisecond,
+		Grace:    700 * time.Millisecond,
+		Handover: 20 * time.Second,
+		Hints: Budget{
+			Rate:  800,
+			Burst: 8 << 10,
+		},
+		Handovers: Budget{
+			Rate:  3000,
+			Burst: 256 << 10,
+		},
 		Tolerance: 0.02,
 		Flows:     2 << 20,
 	}
@@ -81,7 +95,8 @@
 	handover *handover
 	hints    *hints
 	rebinds  *rebinds
-	limiter  *rate.Limiter
+	hintRate *rate.Limiter
+	moveRate *rate.Limiter
 	leaving  map[uint32]time.Time
 	// incarnations holds those of the members at the last change of owners.
 	incarnations map[zf.InstanceName]uint64
@@ -119,7 +134,8 @@
 		handover: newHandover(),
 		hints:    newHints(),
 		rebinds:  newRebinds(),
-		limiter:  rate.NewLimiter(rate.Limit(config.Budget), config.Burst),
+		hintRate: config.Hints.limiter(),
+		moveRate: config.Handovers.limiter(),
 		leaving:  make(map[uint32]time.Time),
 	}
 }
--- a/core/zfslot/round.go
+++ b/core/zfslot/round.go
@@ -106,7 +106,7 @@
 	if resend {
 		t.round.sent = now
 	}
-	if complete || m.config.Eager {
+	if complete {
 		m.finishRound(t, now)
 	}
 }
--- /dev/null
+++ b/lab/zfcompare/compare.go
@@ -0,0 +1,226 @@
+// Package zfcompare runs the ways of mapping flows to backend servers through
+// the same events, one after the other, and tables what they cost.
+package zfcompare
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfrendezvous"
+	"zinniafront/core/zfreplica"
+	"zinniafront/core/zfslot"
+	"zinniafront/io/zfwire"
+	"zinniafront/lab/zfregion"
+)
+
+// Config describes a comparison.
+type Config struct {
+	Seed      uint64
+	Instances int
+	// Rate is the number of flows opened each second.
+	Rate float64
+}
+
+// Row is what one way cost in one event.
+type Row struct {
+	Way       string  `json:"way"`
+	Event     string  `json:"event"`
+	Instances int     `json:"instances"`
+	Opened    int     `json:"opened"`
+	Broken    int     `json:"broken"`
+	Silent    int     `json:"silent"`
+	Slowest   string  `json:"slowest"`
+	Imbalance float64 `json:"imbalance"`
+	// Bytes is the control bytes a second of the busiest instance, Flow the
+	// bytes of memory for each flow held, Relayed the share of packets that
+	// passed another instance.
+	Bytes   float64 `json:"bytes"`
+	Flow    float64 `json:"flow"`
+	Relayed float64 `json:"relayed"`
+}
+
+const seed = 7
+
+// ways are the ways of mapping, by name.
+func ways() map[string]func(zf.MemberView, time.Time) zf.Mapper {
+	return map[string]func(zf.MemberView, time.Time) zf.Mapper{
+		"rendezvous": func(zf.MemberView, time.Time) zf.Mapper {
+			return zfrendezvous.New(zfrendezvous.Config{Seed: seed})
+		},
+		"replica": func(_ zf.MemberView, start time.Time) zf.Mapper {
+			return zfreplica.New(zfreplica.Config{Seed: seed, Start: start})
+		},
+		"slot": func(_ zf.MemberView, start time.Time) zf.Mapper {
+			return zfslot.New(zfslot.DefaultConfig(seed, start))
+		},
+	}
+}
+
+// Ways returns the names of the ways, baselines first.
+func Ways() []string { return []string{"rendezvous", "replica", "slot"} }
+
+// event is a change that every way goes through.
+type event struct {
+	name   string
+	change []zfregion.Event
+}
+
+func events() []event {
+	return []event{
+		{name: "steady"},
+		{name: "roll", change: []zfregion.Event{{Action: zfregion.ActionRoll}}},
+		{name: "drain", change: []zfregion.Event{{Action: zfregion.ActionDrain}}},
+		{name: "join", change: []zfregion.Event{{Action: zfregion.ActionJoin}}},
+		{name: "die", change: []zfregion.Event{{Action: zfregion.ActionKill, Target: 1}}},
+		{name: "restart", change: []zfregion.Event{
+			{Action: zfregion.ActionStop, Target: 2},
+			{Action: zfregion.ActionStart, Target: 2, After: 8 * time.Second},
+		}},
+		{name: "drain and die", change: []zfregion.Event{
+			{Action: zfregion.ActionDrain},
+			{Action: zfregion.ActionKill, Target: 1},
+		}},
+		{name: "leave and return", change: []zfregion.Event{
+			{Action: zfregion.ActionOut, Target: 1},
+			{Action: zfregion.ActionIn, Target: 1, After: 10 * time.Second},
+		}},
+	}
+}
+
+func bundle() *zfbundle.Bundle {
+	b := &zfbundle.Bundle{
+		Name:    "compare",
+		Version: 1,
+		Limits:  zfbundle.DefaultLimits(),
+		Services: []zfbundle.Service{{
+			Name:      "orders",
+			Addresses: []netip.Addr{netip.AddrFrom4([4]byte{198, 51, 100, 1})},
+			Ports:     []uint16{443},
+			Protocol:  zf.ProtocolTCP,
+			Idle:      30 * time.Minute,
+			Slots:     zfbundle.DefaultSlots,
+			Pool:      zfbundle.Pool{Capacity: zf.Capacity{Slots: 2, Connections: 2000}},
+		}},
+	}
+	for _, name := range []zf.CentreName{"one", "two", "three"} {
+		b.Centres = append(b.Centres, zfbundle.Centre{Name: name, Region: "r"})
+	}
+	return b
+}
+
+const (
+	hosts  = 14
+	before = 30 * time.Second
+	after  = 30 * time.Second
+)
+
+// Run runs every way through every event.
+func Run(config Config) ([]Row, error) {
+	codec, err := zfwire.New(zfwire.Config{Key: []byte("compare")})
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]Row, 0, 32)
+	for _, way := range Ways() {
+		for _, e := range events() {
+			rows = append(rows, run(config, codec, way, e))
+		}
+	}
+	return rows, nil
+}
+
+func run(config Config, codec *zfwire.Codec, way string, e event) Row {
+	r := zfregion.New(zfregion.Config{
+		Seed:      config.Seed,
+		Bundle:    bundle(),
+		Instances: config.Instances,
+		Hosts:     map[zf.ServiceName]int{"orders": hosts},
+		Links:     zfregion.Links{Delay: 500 * time.Microsecond, Jitter: time.Millisecond},
+		Spread:    time.Second,
+		Step:      50 * time.Millisecond,
+		Mapper:    ways()[way],
+		Bytes: func(envelope zf.Envelope) int {
+			datagram, err := codec.Encode(envelope)
+			if err != nil {
+				return 0
+			}
+			return len(datagram)
+		},
+	})
+	r.Until(20*time.Second, func() bool { return len(r.Ready()) == config.Instances })
+	r.Advance(8 * time.Second)
+	r.Flows().SetLoad(zfregion.Load{
+		Rate:       config.Rate,
+		Life:       5 * time.Minute,
+		Every:      2 * time.Second,
+		Quiet:      0.3,
+		QuietEvery: 20 * time.Second,
+	})
+	r.Advance(before)
+	sent := make([]int, len(r.Instances()))
+	for i, instance := range r.Instances() {
+		sent[i] = instance.Sent
+	}
+	began := r.Now()
+	for _, change := range e.change {
+		r.Advance(change.After)
+		r.Apply(change)
+	}
+	r.Advance(after)
+	return measure(r, way, e.name, sent, r.Now().Sub(began))
+}
+
+func measure(r *zfregion.Region, way, name string, sent []int, span time.Duration) Row {
+	result := r.Flows().Result()
+	row := Row{
+		Way:       way,
+		Event:     name,
+		Instances: len(r.Instances()),
+		Opened:    result.Opened,
+		Broken:    result.Broken,
+		Silent:    result.Silent,
+		Slowest:   result.Slowest.String(),
+	}
+	for i, instance := range r.Instances() {
+		row.Bytes = max(row.Bytes, float64(instance.Sent-sent[i])/span.Seconds())
+		if !instance.Up {
+			continue
+		}
+		if stats := instance.World.Mapper().Stats(); stats.Flows > 0 {
+			row.Flow = max(row.Flow, float64(stats.FlowBytes)/float64(stats.Flows))
+		}
+	}
+	most, sum, count := 0, 0, 0
+	for _, server := range r.Servers().List() {
+		if server.Up && server.State == zf.ServerWarm {
+			most = max(most, server.Connections())
+			sum += server.Connections()
+			count++
+		}
+	}
+	if sum > 0 {
+		row.Imbalance = float64(most) * float64(count) / float64(sum)
+	}
+	relayed := 0
+	for _, reason := range []zf.Reason{zf.ReasonOpening, zf.ReasonBackup, zf.ReasonMovedSlot, zf.ReasonRefresh, zf.ReasonEnding} {
+		relayed += r.Reasons[reason]
+	}
+	row.Relayed = float64(relayed) / float64(r.Forwarded)
+	return row
+}
+
+// Table returns the rows as a Markdown table.
+func Table(rows []Row) string {
+	var b strings.Builder
+	b.WriteString("| way | event | instances | opened | broken | no answer | slowest answer | imbalance | control B/s | B a flow | relayed |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		fmt.Fprintf(&b, "| %s | %s | %d | %d | %d | %d | %s | %.3f | %.0f | %.0f | %.3f |\n",
+			r.Way, r.Event, r.Instances, r.Opened, r.Broken, r.Silent, r.Slowest, r.Imbalance, r.Bytes, r.Flow, r.Relayed)
+	}
+	return b.String()
+}
--- a/lab/zflabcmd/root.go
+++ b/lab/zflabcmd/root.go
@@ -16,6 +16,7 @@
 	Caller  CallerOptions  `cmd:"" help:"Stand in for the callers."`
 	Servers ServersOptions `cmd:"" help:"Print the names of the backend servers."`
 	Wait    WaitOptions    `cmd:"" help:"Wait for a state of a run."`
+	Compare CompareOptions `cmd:"" help:"Compare the ways of mapping flows under a fake clock."`
 	Collect CollectOptions `cmd:"" help:"Keep the counters of all instances."`
 	Report  ReportOptions  `cmd:"" help:"Print the measures of a run that has ended."`
 }
