--- a/core/zfmember/system.go
+++ b/core/zfmember/system.go
@@ -62,9 +62,11 @@
 		if row.introduced < introductions {
 			row.introduced++
 			beat.Members = t.addresses(row.Name)
-			if t.introduces(row.Name) {
-				beat.Servers = content.All()
-			}
+			row.lacks = true
+		}
+		if row.lacks && t.introduces(row.Name) {
+			beat.Servers = content.All()
+			row.lacks = false
 		}
 		envelopes = append(envelopes, t.envelope(row.Name, row.Control, beat))
 	}
@@ -86,6 +88,7 @@
 		Slots:   content.Slots,
 		Servers: content.Servers,
 		Alive:   content.Alive,
+		Lacks:   content.Lacks,
 		Ready:   content.Ready,
 	}
 }
--- a/core/zfmember/table.go
+++ b/core/zfmember/table.go
@@ -104,6 +104,7 @@
 	Slots   []zf.SlotDigest
 
 	introduced int
+	lacks      bool
 }
 
 // Table holds the instances that this one knows of, sorted by name.
@@ -124,7 +125,9 @@
 	Servers []zf.Announcement
 	Alive   []zf.ServerBeat
 	// All returns every backend server that is not gone, for new members.
-	All   func() []zf.Announcement
+	All func() []zf.Announcement
+	// Lacks tells that a backend server is known by name only.
+	Lacks bool
 	Ready bool
 }
 
@@ -182,6 +185,7 @@
 	row.Beat = beat.Beat
 	row.InForce = beat.State
 	row.Slots = beat.Slots
+	row.lacks = beat.Lacks
 	t.confirm(row, beat)
 	t.learnSeeds(beat.Members)
 	return true
--- a/core/zfserver/table.go
+++ b/core/zfserver/table.go
@@ -223,17 +223,22 @@
 }
 
 // Beat takes the word of another instance that a backend server announced
-// itself at the same place.
-func (t *Table) Beat(beat zf.ServerBeat, now time.Time) {
+// itself at the same place. It reports false if the whole announcement is not
+// known here.
+func (t *Table) Beat(beat zf.ServerBeat, now time.Time) bool {
 	row := t.Find(beat.Server)
-	if row == nil || beat.Sequence <= row.Sequence || row.Status == zf.ServerGone {
-		return
+	if row == nil || row.Status == zf.ServerGone {
+		return false
+	}
+	if beat.Sequence <= row.Sequence {
+		return true
 	}
 	a := row.Announcement
 	a.State = beat.State
 	a.Sequence = beat.Sequence
 	a.Load = beat.Load
 	t.update(row, a, now)
+	return true
 }
 
 // TakeHeard returns what the other instances are to be told now, by ServerID:
--- a/core/zfslot/assign.go
+++ b/core/zfslot/assign.go
@@ -60,8 +60,8 @@
 // more than the tolerance, unsettled ones first.
 func (m *Mapper) assign(t *table, now time.Time) []int {
 	list := m.shares(t)
-	if len(list) == 0 {
-		return nil
+	if len(list) == 0 || t.born.IsZero() && now.Sub(m.heard) < m.config.Boot {
+		return nil // A first assignment waits until the servers have been heard.
 	}
 	byIndex := make(map[uint32]*share, len(list))
 	for _, s := range list {
--- a/core/zfslot/mapper.go
+++ b/core/zfslot/mapper.go
@@ -97,7 +97,13 @@
 	rebinds  *rebinds
 	hintRate *rate.Limiter
 	moveRate *rate.Limiter
+	// accepted holds the servers that took new flows, leaving since when they
+	// take none.
+	accepted map[uint32]bool
 	leaving  map[uint32]time.Time
+	// known is the number of backend servers, heard when it changed last.
+	known int
+	heard time.Time
 	// incarnations holds those of the members at the last change of owners.
 	incarnations map[zf.InstanceName]uint64
 	lastTick     time.Time
@@ -136,6 +142,7 @@
 		rebinds:  newRebinds(),
 		hintRate: config.Hints.limiter(),
 		moveRate: config.Handovers.limiter(),
+		accepted: make(map[uint32]bool),
 		leaving:  make(map[uint32]time.Time),
 	}
 }
@@ -193,11 +200,18 @@
 
 // adoptServers notes since when a backend server takes no new flows.
 func (m *Mapper) adoptServers(now time.Time) {
+	if len(m.view.Servers) != m.known {
+		m.known = len(m.view.Servers)
+		m.heard = now
+	}
 	for _, server := range m.view.Servers {
 		index := m.names.intern(server.Name)
-		if server.Weight > 0 && server.Allowed {
+		_, left := m.leaving[index]
+		switch {
+		case server.Weight > 0 && server.Allowed:
+			m.accepted[index] = true
 			delete(m.leaving, index)
-		} else if _, ok := m.leaving[index]; !ok {
+		case !left && m.accepted[index]:
 			m.leaving[index] = now
 		}
 	}
--- a/core/zfslot/settle.go
+++ b/core/zfslot/settle.go
@@ -15,11 +15,15 @@
 	acks  map[zf.InstanceName]uint64
 	asked time.Time
 	next  time.Time
+	// pause is the time until the next question; it grows while slots stay in
+	// use.
+	pause time.Duration
 }
 
 const (
-	// settleEvery is the time between two questions.
-	settleEvery = 5 * time.Second
+	// settleEvery and settleMostly bound the time between two questions.
+	settleEvery  = 5 * time.Second
+	settleMostly = 2 * time.Minute
 	// settlePart is the part number that marks a question's key.
 	settlePart = 1<<partBits - 1
 	// settleSlots bounds the slots of one question, and so its message.
@@ -48,11 +52,13 @@
 	if now.Before(t.settle.next) {
 		return
 	}
-	t.settle.next = now.Add(settleEvery)
 	slots := m.settleable(t, now)
 	if len(slots) == 0 {
+		t.settle.pause = 0
+		t.settle.next = now.Add(settleEvery)
 		return
 	}
+	pause := max(settleEvery, min(2*t.settle.pause, settleMostly))
 	t.round.number++
 	t.settle = settle{
 		key:   m.roundKey(t.round.number, settlePart),
@@ -60,7 +66,8 @@
 		busy:  make(map[int]bool),
 		acks:  make(map[zf.InstanceName]uint64),
 		asked: now,
-		next:  t.settle.next,
+		next:  now.Add(pause),
+		pause: pause,
 	}
 	ask := zf.SlotAsk{
 		Service: t.view.Name,
@@ -133,6 +140,7 @@
 	t.settle.slots = nil
 	m.stats.Settles += len(written)
 	if len(written) > 0 {
+		t.settle.pause = 0
 		m.begin(t, written, false, now)
 	}
 }
--- a/io/zfwire/codec_test.go
+++ b/io/zfwire/codec_test.go
@@ -68,6 +68,7 @@
 			}},
 			Alive:   []zf.ServerBeat{{Server: "t", State: zf.ServerWarm, Sequence: 5, Load: 0.25}},
 			Members: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.9:1")},
+			Lacks:   true,
 			Ready:   true,
 		},
 		zf.SlotAck{Service: "orders", Round: 3, Busy: []uint16{1, 2}},
--- a/io/zfwire/message.go
+++ b/io/zfwire/message.go
@@ -24,6 +24,7 @@
 	Servers []announcement
 	Alive   []serverBeat
 	Members [][]byte
+	Lacks   bool
 	Ready   bool
 }
 
@@ -232,6 +233,7 @@
 		Echo:    message.Echo,
 		EchoOf:  message.EchoOf,
 		State:   message.State,
+		Lacks:   message.Lacks,
 		Ready:   message.Ready,
 	}
 	for _, digest := range message.Slots {
@@ -279,6 +281,7 @@
 		Echo:   w.Echo,
 		EchoOf: w.EchoOf,
 		State:  w.State,
+		Lacks:  w.Lacks,
 		Ready:  w.Ready,
 	}
 	var err error
--- a/lab/zfregion/flow.go
+++ b/lab/zfregion/flow.go
@@ -64,6 +64,7 @@
 	waiting time.Time
 	pause   time.Duration
 	number  int
+	answers int
 	// released tells that the flow's data centre was taken out.
 	released bool
 }
@@ -131,6 +132,9 @@
 	openingFirst = time.Second
 	// silentLimit is how long an established flow waits for an answer.
 	silentLimit = 15 * time.Second
+	// A new flow sends its first packets in quick succession.
+	handshake      = 3
+	handshakePause = 20 * time.Millisecond
 	// mostCauses bounds the causes that are kept.
 	mostCauses = 10
 )
@@ -288,7 +292,12 @@
 		f.result.Slowest = max(f.result.Slowest, r.now.Sub(next.waiting))
 	}
 	next.waiting = time.Time{}
-	next.next = r.now.Add(next.every)
+	next.answers++
+	pause := next.every
+	if next.answers <= handshake {
+		pause = handshakePause
+	}
+	next.next = r.now.Add(pause)
 	if next.next.After(next.ends) {
 		next.next = next.ends
 	}
--- a/message.go
+++ b/message.go
@@ -58,6 +58,9 @@
 	Alive   []ServerBeat
 	// Members holds the addresses of instances that the receiver may not know.
 	Members []netip.AddrPort
+	// Lacks tells that the sender heard of a backend server by a short
+	// announcement only, and wants the whole ones.
+	Lacks bool
 	// Ready is false while the instance starts or stops.
 	Ready bool
 }
