--- a/lab/zflabcmd/run.go
+++ b/lab/zflabcmd/run.go
@@ -157,7 +157,8 @@
 
 // CollectOptions are the flags of collect.
 type CollectOptions struct {
-	Dir string `name:"dir" required:"" help:"Folder of the run."`
+	Dir    string `name:"dir" required:"" help:"Folder of the run."`
+	Prefix string `name:"prefix" enum:"start,end" default:"end" help:"start: before the callers start; end: when they stop."`
 }
 
 // Run runs the command.
@@ -166,7 +167,7 @@
 	if err != nil {
 		return err
 	}
-	zfreport.Collect(o.Dir, topology)
+	zfreport.Collect(o.Dir, o.Prefix, topology)
 	return nil
 }
 
--- a/lab/zfregion/schedule.go
+++ b/lab/zfregion/schedule.go
@@ -25,7 +25,9 @@
 	ActionIn        Action = "in"
 	ActionRoll      Action = "roll"
 	ActionPartition Action = "partition"
-	ActionHeal      Action = "heal"
+	// ActionMute loses what an instance sends, not what it gets.
+	ActionMute Action = "mute"
+	ActionHeal Action = "heal"
 )
 
 // Event is one event of a schedule.
@@ -67,7 +69,7 @@
 	case ActionJoin:
 		services := r.state.Bundle.Services
 		r.JoinServer(services[e.Target%len(services)].Name)
-	case ActionKill, ActionStop, ActionStart, ActionPartition:
+	case ActionKill, ActionStop, ActionStart, ActionPartition, ActionMute:
 		r.applyInstance(e)
 	case ActionOut, ActionIn:
 		r.applyCentre(e)
@@ -115,6 +117,8 @@
 	case e.Action == ActionPartition && instance.Up && steady && r.now.Sub(r.killed) >= killsApart:
 		r.killed = r.now
 		r.Partition(1, i)
+	case e.Action == ActionMute && instance.Up:
+		instance.Mute = true
 	}
 }
 
