--- a/core/zfcontrol/machine_test.go
+++ b/core/zfcontrol/machine_test.go
@@ -32,7 +32,9 @@
 }
 
 func roll(version uint64) zfcontrol.RollCommand {
-	return zfcontrol.RollCommand{Version: version}
+	return zfcontrol.RollCommand{
+		Version: version,
+	}
 }
 
 func centre(name zf.CentreName, out bool) zfcontrol.CentreCommand {
--- a/core/zfflow/table_test.go
+++ b/core/zfflow/table_test.go
@@ -43,11 +43,31 @@
 		old, next zfflow.Row
 		want      zf.ServerID
 	}{
-		"later version wins":           {row(1, 5, 0), row(2, 6, 0), 2},
-		"earlier version loses":        {row(1, 6, 0), row(2, 5, 0), 1},
-		"prediction loses":             {row(1, 5, 0), row(2, 9, tentative), 1},
-		"prediction gives way":         {row(1, 9, tentative), row(2, 5, 0), 2},
-		"equal version takes the late": {row(1, 5, 0), row(2, 5, 0), 2},
+		"later version wins": {
+			old:  row(1, 5, 0),
+			next: row(2, 6, 0),
+			want: 2,
+		},
+		"earlier version loses": {
+			old:  row(1, 6, 0),
+			next: row(2, 5, 0),
+			want: 1,
+		},
+		"prediction loses": {
+			old:  row(1, 5, 0),
+			next: row(2, 9, tentative),
+			want: 1,
+		},
+		"prediction gives way": {
+			old:  row(1, 9, tentative),
+			next: row(2, 5, 0),
+			want: 2,
+		},
+		"equal version takes the late": {
+			old:  row(1, 5, 0),
+			next: row(2, 5, 0),
+			want: 2,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := newTable(10)
--- a/core/zfreplica/mapper.go
+++ b/core/zfreplica/mapper.go
@@ -74,7 +74,10 @@
 			Server: verdict.Server,
 		}, now)
 		select {
-		case m.opened <- zf.FlowRow{Hash: hash, Server: m.byID[verdict.Server].Name}:
+		case m.opened <- zf.FlowRow{
+			Hash:   hash,
+			Server: m.byID[verdict.Server].Name,
+		}:
 		default:
 		}
 	}
@@ -104,7 +107,9 @@
 				envelopes = append(envelopes, zf.Envelope{
 					To:      member.Name,
 					Address: member.Control,
-					Message: zf.FlowRows{Rows: rows[:n]},
+					Message: zf.FlowRows{
+						Rows: rows[:n],
+					},
 				})
 			}
 		}
--- a/core/zfrequest/table_test.go
+++ b/core/zfrequest/table_test.go
@@ -45,10 +45,13 @@
 
 func (d *desk) serve(service zf.ServiceName) {
 	d.servers.Announce(zf.Announcement{
-		Server:   zf.ServerName(service),
-		Service:  service,
-		Web:      netip.MustParseAddrPort("10.0.0.1:1"),
-		Capacity: zf.Capacity{Slots: 2, Connections: 2000},
+		Server:  zf.ServerName(service),
+		Service: service,
+		Web:     netip.MustParseAddrPort("10.0.0.1:1"),
+		Capacity: zf.Capacity{
+			Slots:       2,
+			Connections: 2000,
+		},
 		State:    zf.ServerWarm,
 		Sequence: 1,
 	}, true, start)
@@ -130,7 +133,11 @@
 	t.Run("a data centre taken out gets no request", func(t *testing.T) {
 		d := newDesk()
 		d.serve("orders")
-		d.table.Submit(zfrequest.Request{ID: 9, Service: "orders", Deadline: start.Add(time.Minute)}, start)
+		d.table.Submit(zfrequest.Request{
+			ID:       9,
+			Service:  "orders",
+			Deadline: start.Add(time.Minute),
+		}, start)
 		d.table.Tick(start, d.servers, []zf.CentreName{""})
 		zfassert.Equal(t, "decisions", len(d.table.Take()), 0)
 	})
--- a/core/zfserver/table_test.go
+++ b/core/zfserver/table_test.go
@@ -101,12 +101,19 @@
 	t.Run("a short one keeps a known server alive", func(t *testing.T) {
 		config := zfserver.DefaultConfig()
 		table := zfserver.New(config)
-		table.Beat(zf.ServerBeat{Server: "s", Sequence: 1}, start)
+		table.Beat(zf.ServerBeat{
+			Server:   "s",
+			Sequence: 1,
+		}, start)
 		zfassert.True(t, "unknown is not made", table.Find("s") == nil)
 		table.Announce(announcement(1, zf.ServerWarm), false, start)
 		later := start.Add(config.Expiry)
 		table.Tick(later)
-		table.Beat(zf.ServerBeat{Server: "s", State: zf.ServerWarm, Sequence: 2}, later)
+		table.Beat(zf.ServerBeat{
+			Server:   "s",
+			State:    zf.ServerWarm,
+			Sequence: 2,
+		}, later)
 		zfassert.Equal(t, "status", table.Find("s").Status, zf.ServerWarm)
 	})
 	t.Run("the table is bounded", func(t *testing.T) {
--- a/io/command/zfrootcmd/root.go
+++ b/io/command/zfrootcmd/root.go
@@ -47,7 +47,11 @@
 		kong.Name("zinniafront"),
 		kong.Description(description+"\n\n"+zfcmd.ExitHelp),
 		kong.Writers(f.Streams.Out, f.Streams.Err),
-		kong.Exit(func(code int) { panic(exit{code: code}) }),
+		kong.Exit(func(code int) {
+			panic(exit{
+				code: code,
+			})
+		}),
 		kong.Bind(f),
 	)
 	if err != nil {
--- a/io/zfannounce/listener_test.go
+++ b/io/zfannounce/listener_test.go
@@ -26,19 +26,24 @@
 func newDecoder() *zfannounce.Decoder {
 	return zfannounce.NewDecoder(zfannounce.Config{
 		Verifier: key,
-		Clock:    &clock{now: time.Unix(1, 0)},
+		Clock: &clock{
+			now: time.Unix(1, 0),
+		},
 	})
 }
 
 func datagram(t testing.TB, server zf.ServerName) []byte {
 	t.Helper()
 	text, err := zfdocument.FormatAnnouncement(zf.Announcement{
-		Server:   server,
-		Service:  "orders",
-		Centre:   "one",
-		Address:  netip.MustParseAddrPort("10.0.0.1:1"),
-		Web:      netip.MustParseAddrPort("10.0.0.1:2"),
-		Capacity: zf.Capacity{Slots: 2, Connections: 2000},
+		Server:  server,
+		Service: "orders",
+		Centre:  "one",
+		Address: netip.MustParseAddrPort("10.0.0.1:1"),
+		Web:     netip.MustParseAddrPort("10.0.0.1:2"),
+		Capacity: zf.Capacity{
+			Slots:       2,
+			Connections: 2000,
+		},
 		State:    zf.ServerWarm,
 		Sequence: 1,
 	})
--- a/io/zfdocument/settings.go
+++ b/io/zfdocument/settings.go
@@ -161,12 +161,36 @@
 
 func (s *Settings) listenFields() []listenField {
 	return []listenField{
-		{path: "/listen/traffic", address: s.Listen.Traffic, role: RoleEntry},
-		{path: "/listen/relay", address: s.Listen.Relay, role: RoleEntry},
-		{path: "/listen/control", address: s.Listen.Control, role: RoleEntry},
-		{path: "/listen/announce", address: s.Listen.Announce, role: RoleEntry},
-		{path: "/listen/front", address: s.Listen.Front, role: RoleEntry},
-		{path: "/listen/operator", address: s.Listen.Operator, role: RoleControl},
+		{
+			path:    "/listen/traffic",
+			address: s.Listen.Traffic,
+			role:    RoleEntry,
+		},
+		{
+			path:    "/listen/relay",
+			address: s.Listen.Relay,
+			role:    RoleEntry,
+		},
+		{
+			path:    "/listen/control",
+			address: s.Listen.Control,
+			role:    RoleEntry,
+		},
+		{
+			path:    "/listen/announce",
+			address: s.Listen.Announce,
+			role:    RoleEntry,
+		},
+		{
+			path:    "/listen/front",
+			address: s.Listen.Front,
+			role:    RoleEntry,
+		},
+		{
+			path:    "/listen/operator",
+			address: s.Listen.Operator,
+			role:    RoleControl,
+		},
 	}
 }
 
--- a/io/zfentry/loop.go
+++ b/io/zfentry/loop.go
@@ -207,16 +207,25 @@
 
 // Announce takes an announcement of a backend server.
 func (l *Loop) Announce(announcement zf.Announcement) {
-	l.offer(announceEvent{announcement: announcement})
+	l.offer(announceEvent{
+		announcement: announcement,
+	})
 }
 
 // Message takes a message of another instance.
-func (l *Loop) Message(envelope zf.Envelope) { l.offer(messageEvent{envelope: envelope}) }
+func (l *Loop) Message(envelope zf.Envelope) {
+	l.offer(messageEvent{
+		envelope: envelope,
+	})
+}
 
 // Enforce takes a control state and returns once it is in force.
 func (l *Loop) Enforce(state zfinstance.State) {
 	done := make(chan struct{})
-	if !l.put(stateEvent{state: state, done: done}) {
+	if !l.put(stateEvent{
+		state: state,
+		done:  done,
+	}) {
 		return
 	}
 	select {
@@ -237,7 +246,10 @@
 func (l *Loop) Acquire(ctx context.Context, request zfrequest.Request) (Grant, error) {
 	request.ID = zfrequest.ID(l.nextID.Add(1))
 	reply := make(chan Grant, 1)
-	if !l.put(submitEvent{request: request, reply: reply}) {
+	if !l.put(submitEvent{
+		request: request,
+		reply:   reply,
+	}) {
 		return Grant{}, ErrStopped
 	}
 	select {
@@ -252,12 +264,18 @@
 }
 
 // Release gives a slot back, or withdraws a request that waits.
-func (l *Loop) Release(id zfrequest.ID) { l.put(finishEvent{id: id}) }
+func (l *Loop) Release(id zfrequest.ID) {
+	l.put(finishEvent{
+		id: id,
+	})
+}
 
 // Report returns the state of the instance.
 func (l *Loop) Report(ctx context.Context) (Report, error) {
 	reply := make(chan Report, 1)
-	if !l.put(reportEvent{reply: reply}) {
+	if !l.put(reportEvent{
+		reply: reply,
+	}) {
 		return Report{}, ErrStopped
 	}
 	select {
--- a/io/zffront/front.go
+++ b/io/zffront/front.go
@@ -84,7 +84,9 @@
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
 				if err != nil {
-					return nil, &errDial{cause: err}
+					return nil, &errDial{
+						cause: err,
+					}
 				}
 				return conn, nil
 			},
--- a/io/zffront/front_test.go
+++ b/io/zffront/front_test.go
@@ -61,7 +61,12 @@
 			Once:      name == "orders",
 			Idle:      time.Minute,
 			Slots:     64,
-			Pool:      zfbundle.Pool{Capacity: zf.Capacity{Slots: 1, Connections: 10}},
+			Pool: zfbundle.Pool{
+				Capacity: zf.Capacity{
+					Slots:       1,
+					Connections: 10,
+				},
+			},
 		})
 	}
 	return bundle
@@ -76,14 +81,20 @@
 		counters: zfcounter.New(),
 	}
 	zfassert.NoError(t, listener.Close())
-	member := zf.MemberView{Name: "e", Incarnation: 1}
+	member := zf.MemberView{
+		Name:        "e",
+		Incarnation: 1,
+	}
 	world := zfinstance.New(zfinstance.Config{
 		Member: zfmember.DefaultConfig(member, nil),
 		Mapper: zfslot.New(zfslot.DefaultConfig(1, time.Now())),
 		Picker: zfpick.Choices{},
 		Random: rand.New(rand.NewPCG(1, 1)),
 	})
-	logger := zfevent.New(zfevent.Config{Output: io.Discard, Level: "error"})
+	logger := zfevent.New(zfevent.Config{
+		Output: io.Discard,
+		Level:  "error",
+	})
 	s.loop = zfentry.New(zfentry.Config{
 		World:     world,
 		Messenger: silence{},
@@ -96,7 +107,10 @@
 	t.Cleanup(cancel)
 	go s.loop.Run(ctx)
 	bundle := testBundle()
-	s.loop.Enforce(zfinstance.State{Sequence: 1, Bundle: bundle})
+	s.loop.Enforce(zfinstance.State{
+		Sequence: 1,
+		Bundle:   bundle,
+	})
 	front, err := zffront.Listen(zffront.Config{
 		Address:  s.address,
 		Instance: "e",
@@ -123,12 +137,15 @@
 func (s *stage) announce(service zf.ServiceName, web netip.AddrPort) {
 	s.next++
 	s.loop.Announce(zf.Announcement{
-		Server:   zf.ServerName(fmt.Sprintf("s%d", s.next)),
-		Service:  service,
-		Centre:   "one",
-		Address:  web,
-		Web:      web,
-		Capacity: zf.Capacity{Slots: 1, Connections: 10},
+		Server:  zf.ServerName(fmt.Sprintf("s%d", s.next)),
+		Service: service,
+		Centre:  "one",
+		Address: web,
+		Web:     web,
+		Capacity: zf.Capacity{
+			Slots:       1,
+			Connections: 10,
+		},
 		State:    zf.ServerWarm,
 		Sequence: 1,
 	})
--- a/io/zffront/problem.go
+++ b/io/zffront/problem.go
@@ -36,20 +36,76 @@
 )
 
 var kinds = map[zf.Reason]kind{
-	zf.ReasonNoSuchService:  {http.StatusNotFound, "no service of this name", notRun},
-	zf.ReasonKeyMissing:     {http.StatusBadRequest, "the service needs an Idempotency-Key", notRun},
-	zf.ReasonBadField:       {http.StatusBadRequest, "a header is malformed", notRun},
-	zf.ReasonBodyTooLarge:   {http.StatusRequestEntityTooLarge, "the body is too large", notRun},
-	zf.ReasonOverLimit:      {http.StatusServiceUnavailable, "too many requests wait", notRun},
-	zf.ReasonWaitExpired:    {http.StatusServiceUnavailable, "no backend server became free in time", notRun},
-	zf.ReasonNotReady:       {http.StatusServiceUnavailable, "the instance starts or stops", notRun},
-	zf.ReasonDeadline:       {http.StatusGatewayTimeout, "the deadline passed before dispatch", notRun},
-	zf.ReasonCallerGone:     {statusCallerGone, "the caller went away", notRun},
-	zf.ReasonSendFailed:     {http.StatusBadGateway, "no backend server could be reached", notRun},
-	zf.ReasonUpstreamFailed: {http.StatusBadGateway, "the backend server did not answer", unknown},
-	zf.ReasonAnswerCut:      {http.StatusBadGateway, "the answer was cut short", unknown},
-	zf.ReasonAnswerCrossed:  {http.StatusBadGateway, "the answer belonged to another request", unknown},
-	zf.ReasonTooLarge:       {http.StatusBadGateway, "the answer is too large", unknown},
+	zf.ReasonNoSuchService: {
+		status: http.StatusNotFound,
+		title:  "no service of this name",
+		run:    notRun,
+	},
+	zf.ReasonKeyMissing: {
+		status: http.StatusBadRequest,
+		title:  "the service needs an Idempotency-Key",
+		run:    notRun,
+	},
+	zf.ReasonBadField: {
+		status: http.StatusBadRequest,
+		title:  "a header is malformed",
+		run:    notRun,
+	},
+	zf.ReasonBodyTooLarge: {
+		status: http.StatusRequestEntityTooLarge,
+		title:  "the body is too large",
+		run:    notRun,
+	},
+	zf.ReasonOverLimit: {
+		status: http.StatusServiceUnavailable,
+		title:  "too many requests wait",
+		run:    notRun,
+	},
+	zf.ReasonWaitExpired: {
+		status: http.StatusServiceUnavailable,
+		title:  "no backend server became free in time",
+		run:    notRun,
+	},
+	zf.ReasonNotReady: {
+		status: http.StatusServiceUnavailable,
+		title:  "the instance starts or stops",
+		run:    notRun,
+	},
+	zf.ReasonDeadline: {
+		status: http.StatusGatewayTimeout,
+		title:  "the deadline passed before dispatch",
+		run:    notRun,
+	},
+	zf.ReasonCallerGone: {
+		status: statusCallerGone,
+		title:  "the caller went away",
+		run:    notRun,
+	},
+	zf.ReasonSendFailed: {
+		status: http.StatusBadGateway,
+		title:  "no backend server could be reached",
+		run:    notRun,
+	},
+	zf.ReasonUpstreamFailed: {
+		status: http.StatusBadGateway,
+		title:  "the backend server did not answer",
+		run:    unknown,
+	},
+	zf.ReasonAnswerCut: {
+		status: http.StatusBadGateway,
+		title:  "the answer was cut short",
+		run:    unknown,
+	},
+	zf.ReasonAnswerCrossed: {
+		status: http.StatusBadGateway,
+		title:  "the answer belonged to another request",
+		run:    unknown,
+	},
+	zf.ReasonTooLarge: {
+		status: http.StatusBadGateway,
+		title:  "the answer is too large",
+		run:    unknown,
+	},
 }
 
 // Reasons returns the reasons that have an answer of their own.
--- a/io/zfoperator/operator_test.go
+++ b/io/zfoperator/operator_test.go
@@ -71,7 +71,10 @@
 		Store:    c.store,
 		Verifier: trusted,
 		Clock:    zfclock.System{},
-		Logger:   zfevent.New(zfevent.Config{Output: io.Discard, Level: "error"}),
+		Logger: zfevent.New(zfevent.Config{
+			Output: io.Discard,
+			Level:  "error",
+		}),
 	}
 	c.start(t)
 	return c
@@ -100,14 +103,18 @@
 
 func (c *control) accept(t *testing.T, version string) zfcontrol.Outcome {
 	t.Helper()
-	reply, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{Signed: c.signed(t, version)})
+	reply, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{
+		Signed: c.signed(t, version),
+	})
 	zfassert.NoError(t, err)
 	return reply.Outcome
 }
 
 func (c *control) roll(t *testing.T, version uint64) zfcontrol.Outcome {
 	t.Helper()
-	reply, err := c.client.Roll(context.Background(), zfoperator.RollArgs{Version: version})
+	reply, err := c.client.Roll(context.Background(), zfoperator.RollArgs{
+		Version: version,
+	})
 	zfassert.NoError(t, err)
 	return reply.Outcome
 }
@@ -122,7 +129,9 @@
 		c := newControl(t)
 		assertStatus(t, c.accept(t, "1"), zfcontrol.StatusDone)
 		assertStatus(t, c.roll(t, 1), zfcontrol.StatusDone)
-		reply, err := c.client.Fetch(context.Background(), zfoperator.FetchArgs{Instance: "e"})
+		reply, err := c.client.Fetch(context.Background(), zfoperator.FetchArgs{
+			Instance: "e",
+		})
 		zfassert.NoError(t, err)
 		zfassert.Equal(t, "sequence", reply.Sequence, uint64(2))
 		zfassert.True(t, "signed", len(reply.Signed) > 0)
@@ -132,7 +141,11 @@
 		c.accept(t, "1")
 		fetched := make(chan zfoperator.FetchReply, 1)
 		go func() {
-			reply, _ := c.client.Fetch(context.Background(), zfoperator.FetchArgs{Instance: "e", Sequence: 1, Wait: 20 * time.Second})
+			reply, _ := c.client.Fetch(context.Background(), zfoperator.FetchArgs{
+				Instance: "e",
+				Sequence: 1,
+				Wait:     20 * time.Second,
+			})
 			fetched <- reply
 		}()
 		c.roll(t, 1)
@@ -151,13 +164,17 @@
 	})
 	t.Run("an unsigned bundle is refused", func(t *testing.T) {
 		c := newControl(t)
-		_, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{Signed: []byte("x")})
+		_, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{
+			Signed: []byte("x"),
+		})
 		zfassert.Contains(t, err.Error(), "nothing was accepted")
 	})
 	t.Run("a state that can't be saved changes nothing", func(t *testing.T) {
 		c := newControl(t)
 		c.store.fail = errors.New("disk is full")
-		_, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{Signed: c.signed(t, "1")})
+		_, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{
+			Signed: c.signed(t, "1"),
+		})
 		zfassert.Contains(t, err.Error(), "nothing was accepted")
 		c.store.fail = nil
 		assertStatus(t, c.accept(t, "1"), zfcontrol.StatusDone)
--- a/io/zfoperator/service.go
+++ b/io/zfoperator/service.go
@@ -119,7 +119,9 @@
 // Run serves until the server is closed.
 func (s *Server) Run() {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &control{server: s}); err != nil {
+	if err := server.RegisterName(serviceName, &control{
+		server: s,
+	}); err != nil {
 		panic(err) // The methods are fixed; a wrong one is an error of this package.
 	}
 	go s.accept(server)
--- a/io/zfpacket/decoder_test.go
+++ b/io/zfpacket/decoder_test.go
@@ -39,11 +39,26 @@
 		change func(s *zfsegment.Segment)
 		want   zf.PacketKind
 	}{
-		"opening": {func(s *zfsegment.Segment) { s.SYN = true }, zf.PacketOpening},
-		"answer":  {func(s *zfsegment.Segment) { s.SYN, s.ACK = true, true }, zf.PacketMiddle},
-		"middle":  {func(s *zfsegment.Segment) { s.ACK = true }, zf.PacketMiddle},
-		"closing": {func(s *zfsegment.Segment) { s.FIN, s.ACK = true, true }, zf.PacketClosing},
-		"reset":   {func(s *zfsegment.Segment) { s.RST = true }, zf.PacketReset},
+		"opening": {
+			change: func(s *zfsegment.Segment) { s.SYN = true },
+			want:   zf.PacketOpening,
+		},
+		"answer": {
+			change: func(s *zfsegment.Segment) { s.SYN, s.ACK = true, true },
+			want:   zf.PacketMiddle,
+		},
+		"middle": {
+			change: func(s *zfsegment.Segment) { s.ACK = true },
+			want:   zf.PacketMiddle,
+		},
+		"closing": {
+			change: func(s *zfsegment.Segment) { s.FIN, s.ACK = true, true },
+			want:   zf.PacketClosing,
+		},
+		"reset": {
+			change: func(s *zfsegment.Segment) { s.RST = true },
+			want:   zf.PacketReset,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := segment()
--- a/io/zfwire/codec_test.go
+++ b/io/zfwire/codec_test.go
@@ -56,12 +56,15 @@
 			Beat:    1,
 			Slots:   []zf.SlotDigest{{Service: "orders", Digest: 7}},
 			Servers: []zf.Announcement{{
-				Server:   "s",
-				Service:  "orders",
-				Centre:   "one",
-				Address:  netip.MustParseAddrPort("10.0.0.3:1"),
-				Web:      netip.MustParseAddrPort("10.0.0.3:2"),
-				Capacity: zf.Capacity{Slots: 2, Connections: 2000},
+				Server:  "s",
+				Service: "orders",
+				Centre:  "one",
+				Address: netip.MustParseAddrPort("10.0.0.3:1"),
+				Web:     netip.MustParseAddrPort("10.0.0.3:2"),
+				Capacity: zf.Capacity{
+					Slots:       2,
+					Connections: 2000,
+				},
 				State:    zf.ServerDraining,
 				Load:     0.5,
 				Sequence: 9,
@@ -73,8 +76,12 @@
 		},
 		zf.SlotAck{Service: "orders", Round: 3, Busy: []uint16{1, 2}},
 		zf.SlotAsk{Service: "orders", Round: 3, Slots: []uint16{1, 2}},
-		zf.SlotPull{Service: "orders"},
-		zf.FlowAck{Batch: 4},
+		zf.SlotPull{
+			Service: "orders",
+		},
+		zf.FlowAck{
+			Batch: 4,
+		},
 		zf.FlowRows{
 			Rows:  []zf.FlowRow{{Hash: 1, Server: "s", Service: "orders", Version: 2, Age: time.Minute, Tentative: true}},
 			Batch: 1,
@@ -97,7 +104,9 @@
 	t.Run("round trip of any slot rows", func(t *testing.T) {
 		rapid.Check(t, func(rt *rapid.T) {
 			names := []zf.ServerName{"", "s1", "s2", "s3"}
-			message := zf.SlotRows{Service: "orders"}
+			message := zf.SlotRows{
+				Service: "orders",
+			}
 			for slot := range rapid.IntRange(1, 300).Draw(rt, "rows") {
 				message.Rows = append(message.Rows, zf.SlotRow{
 					Slot:    uint16(slot * 100),
@@ -158,7 +167,10 @@
 // FuzzDecode gives the decoder bodies that carry a right signature.
 func FuzzDecode(f *testing.F) {
 	for _, message := range samples() {
-		codec, _ := zfwire.New(zfwire.Config{Key: []byte("k"), Self: "a"})
+		codec, _ := zfwire.New(zfwire.Config{
+			Key:  []byte("k"),
+			Self: "a",
+		})
 		datagram, _ := codec.Encode(envelope(message))
 		f.Add(datagram[:len(datagram)-16])
 	}
--- a/lab/zfcompare/compare.go
+++ b/lab/zfcompare/compare.go
@@ -49,10 +49,15 @@
 func ways() map[string]func(zf.MemberView, time.Time) zf.Mapper {
 	return map[string]func(zf.MemberView, time.Time) zf.Mapper{
 		"rendezvous": func(zf.MemberView, time.Time) zf.Mapper {
-			return zfrendezvous.New(zfrendezvous.Config{Seed: seed})
+			return zfrendezvous.New(zfrendezvous.Config{
+				Seed: seed,
+			})
 		},
 		"replica": func(_ zf.MemberView, start time.Time) zf.Mapper {
-			return zfreplica.New(zfreplica.Config{Seed: seed, Start: start})
+			return zfreplica.New(zfreplica.Config{
+				Seed:  seed,
+				Start: start,
+			})
 		},
 		"slot": func(_ zf.MemberView, start time.Time) zf.Mapper {
 			return zfslot.New(zfslot.DefaultConfig(seed, start))
@@ -103,11 +108,19 @@
 			Protocol:  zf.ProtocolTCP,
 			Idle:      30 * time.Minute,
 			Slots:     zfbundle.DefaultSlots,
-			Pool:      zfbundle.Pool{Capacity: zf.Capacity{Slots: 2, Connections: 2000}},
+			Pool: zfbundle.Pool{
+				Capacity: zf.Capacity{
+					Slots:       2,
+					Connections: 2000,
+				},
+			},
 		}},
 	}
 	for _, name := range []zf.CentreName{"one", "two", "three"} {
-		b.Centres = append(b.Centres, zfbundle.Centre{Name: name, Region: "r"})
+		b.Centres = append(b.Centres, zfbundle.Centre{
+			Name:   name,
+			Region: "r",
+		})
 	}
 	return b
 }
@@ -120,7 +133,9 @@
 
 // Run runs every way through every event.
 func Run(config Config) ([]Row, error) {
-	codec, err := zfwire.New(zfwire.Config{Key: []byte("compare")})
+	codec, err := zfwire.New(zfwire.Config{
+		Key: []byte("compare"),
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -139,10 +154,13 @@
 		Bundle:    bundle(),
 		Instances: config.Instances,
 		Hosts:     map[zf.ServiceName]int{"orders": hosts},
-		Links:     zfregion.Links{Delay: 500 * time.Microsecond, Jitter: time.Millisecond},
-		Spread:    time.Second,
-		Step:      50 * time.Millisecond,
-		Mapper:    ways()[way],
+		Links: zfregion.Links{
+			Delay:  500 * time.Microsecond,
+			Jitter: time.Millisecond,
+		},
+		Spread: time.Second,
+		Step:   50 * time.Millisecond,
+		Mapper: ways()[way],
 		Bytes: func(envelope zf.Envelope) int {
 			datagram, err := codec.Encode(envelope)
 			if err != nil {
--- a/lab/zfregion/region_test.go
+++ b/lab/zfregion/region_test.go
@@ -290,7 +290,11 @@
 func TestBalance(t *testing.T) {
 	config := testConfig(1, 6)
 	config.Hosts = map[zf.ServiceName]int{"orders": 6, "images": 2}
-	steady := zfregion.Load{Rate: 800, Life: time.Hour, Every: 20 * time.Second}
+	steady := zfregion.Load{
+		Rate:  800,
+		Life:  time.Hour,
+		Every: 20 * time.Second,
+	}
 	r := start(t, config, steady)
 	r.Advance(30 * time.Second)
 	t.Run("at 2,000 connections a server", func(t *testing.T) {
@@ -300,7 +304,9 @@
 }
 
 func TestControlBytes(t *testing.T) {
-	codec, err := zfwire.New(zfwire.Config{Key: []byte("k")})
+	codec, err := zfwire.New(zfwire.Config{
+		Key: []byte("k"),
+	})
 	zfassert.NoError(t, err)
 	for _, instances := range []int{9, 30} {
 		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
