--- a/core/zfserver/table.go
+++ b/core/zfserver/table.go
@@ -52,10 +52,6 @@
 	Ramp float64
 	// Stepped is when Ramp last grew.
 	Stepped time.Time
-	// Failures counts answers in a row that were errors or did not come.
-	Failures int
-	// Done counts completions since the last step of the ramp.
-	Done int
 	// news is how often the whole announcement is still to be told, beats how
 	// many short ones were told since the last whole one.
 	news  int
@@ -167,7 +163,6 @@
 		row.Ramp = 1
 	}
 	row.Stepped = now
-	row.Done = 0
 	t.revision++
 }
 
--- a/ports.go
+++ b/ports.go
@@ -1,9 +1,6 @@
 package zinniafront
 
-import (
-	"net/netip"
-	"time"
-)
+import "time"
 
 // Clock tells the time and wakes its caller; tests replace it by a fake.
 type Clock interface {
@@ -23,13 +20,6 @@
 	IntN(n int) int
 }
 
-// Sender carries datagrams to other machines.
-type Sender interface {
-	// Send hands one datagram over. It never blocks for longer than a local
-	// buffer copy; payload may be reused once it returns.
-	Send(to netip.AddrPort, payload []byte) error
-}
-
 // Mapper decides the backend server of each packet at one instance.
 type Mapper interface {
 	// Route decides one packet. It is safe for concurrent use by the traffic
