--- a/reason.go
+++ b/reason.go
@@ -50,7 +50,6 @@
 	ReasonUpstreamFailed
 	ReasonAnswerCut
 	ReasonAnswerCrossed
-	ReasonShed
 	ReasonCallerGone
 	ReasonRetryNotSent
 
@@ -96,7 +95,6 @@
 	ReasonUpstreamFailed: "upstreamfailed",
 	ReasonAnswerCut:      "answercut",
 	ReasonAnswerCrossed:  "answercrossed",
-	ReasonShed:           "shed",
 	ReasonCallerGone:     "callergone",
 	ReasonRetryNotSent:   "retrynotsent",
 }
