--- a/core/zfslot/mapper.go
+++ b/core/zfslot/mapper.go
@@ -101,6 +101,10 @@
 	// take none.
 	accepted map[uint32]bool
 	leaving  map[uint32]time.Time
+	// silent holds the servers that are not heard, returned since when one is
+	// heard again; its earlier flows may be gone, and their owner know so.
+	silent   map[uint32]bool
+	returned map[uint32]time.Time
 	// known is the number of backend servers, heard when it changed last.
 	known int
 	heard time.Time
@@ -136,6 +140,8 @@
 		moveRate: config.Handovers.limiter(),
 		accepted: make(map[uint32]bool),
 		leaving:  make(map[uint32]time.Time),
+		silent:   make(map[uint32]bool),
+		returned: make(map[uint32]time.Time),
 	}
 }
 
@@ -198,6 +204,11 @@
 	}
 	for _, server := range m.view.Servers {
 		index := m.names.intern(server.Name)
+		silent := server.State == zf.ServerSilent || server.State == zf.ServerGone
+		if m.silent[index] && !silent {
+			m.returned[index] = now
+		}
+		m.silent[index] = silent
 		_, left := m.leaving[index]
 		switch {
 		case server.Weight > 0 && server.Allowed:
--- a/core/zfslot/route.go
+++ b/core/zfslot/route.go
@@ -61,8 +61,14 @@
 	if !l.known || l.kind != zf.PacketMiddle || l.ownedHere() || l.age >= l.snapshot.refresh {
 		return false
 	}
-	owned := l.snapshot.owned[bucketOf(l.hash)]
-	return owned.IsZero() || l.now.Sub(owned) > l.age+time.Second
+	return l.toldAfter(l.snapshot.owned[bucketOf(l.hash)]) &&
+		l.toldAfter(l.snapshot.server(uint32(l.row.Server)).returned)
+}
+
+// toldAfter reports whether the owner told of the flow after a moment, if there
+// was one.
+func (l *lookup) toldAfter(moment time.Time) bool {
+	return moment.IsZero() || l.now.Sub(moment) > l.age+time.Second
 }
 
 func (l *lookup) owner() int16 { return l.snapshot.ring.owners[bucketOf(l.hash)] }
--- a/core/zfslot/snapshot.go
+++ b/core/zfslot/snapshot.go
@@ -57,6 +57,8 @@
 	accepting bool
 	alive     bool
 	allowed   bool
+	// returned is when the server was heard again after a silence.
+	returned time.Time
 }
 
 // noMember is the index of an instance that owns nothing.
@@ -181,6 +183,7 @@
 			accepting: server.Allowed && (server.Weight > 0 || m.inGrace(index, now)),
 			alive:     server.State != zf.ServerGone,
 			allowed:   server.Allowed,
+			returned:  m.returned[index],
 		}
 	}
 	return servers
