--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -26,16 +26,13 @@
 
 // The events of an entry instance.
 var (
-	ReadyChanged    = add(2001, "readiness changed", log.InfoLevel)
-	MembersChanged  = add(2002, "members changed", log.InfoLevel)
-	ServersChanged  = add(2003, "backend servers changed", log.InfoLevel)
-	StateEnforced   = add(2004, "control state in force", log.InfoLevel)
-	StateRefused    = add(2005, "control state refused", log.WarnLevel)
-	AnnounceRefused = add(2006, "announcement refused", log.DebugLevel)
-	MessageRefused  = add(2007, "message refused", log.DebugLevel)
-	SendFailed      = add(2008, "send failed", log.DebugLevel)
-	ControlLost     = add(2009, "control instance not reached", log.WarnLevel)
-	ControlFound    = add(2010, "control instance reached", log.InfoLevel)
+	ReadyChanged   = add(2001, "readiness changed", log.InfoLevel)
+	MembersChanged = add(2002, "members changed", log.InfoLevel)
+	ServersChanged = add(2003, "backend servers changed", log.InfoLevel)
+	StateEnforced  = add(2004, "control state in force", log.InfoLevel)
+	StateRefused   = add(2005, "control state refused", log.WarnLevel)
+	ControlLost    = add(2009, "control instance not reached", log.WarnLevel)
+	ControlFound   = add(2010, "control instance reached", log.InfoLevel)
 )
 
 // The events of a control instance.
@@ -50,7 +47,6 @@
 var (
 	RequestRefused = add(4001, "request refused", log.DebugLevel)
 	RequestRetried = add(4002, "request tried again", log.DebugLevel)
-	RequestFailed  = add(4003, "request failed", log.InfoLevel)
 )
 
 var events []Event
--- a/io/zfevent/event_test.go
+++ b/io/zfevent/event_test.go
@@ -40,7 +40,7 @@
 		Level:    "info",
 		Instance: "e1",
 	})
-	logger.Entry(zfevent.MessageRefused).Msg("")
+	logger.Entry(zfevent.RequestRefused).Msg("")
 	zfassert.Equal(t, "below the level", out.Len(), 0)
 	logger.Entry(zfevent.ProcessStarted).Str("centre", "one").Msg("")
 	for _, part := range []string{`"event":1001`, `"name":"process started"`, `"instance":"e1"`, `"centre":"one"`} {
