Control instances serve the last committed state before they have a leader

Cause: after a power loss of all machines entry instances had no routes until the control instances had elected a leader and committed an entry of its term, 0.15 to 0.25 s after the first of them was back. Change: the record also keeps the newest entry known to be committed. It is written along with the next record, or after a second without changes, so that storms cost no further syncs. A restarted control instance tells it at once; reads and commands still wait for a leader.

--- a/core/zfquorum/lead.go
+++ b/core/zfquorum/lead.go
@@ -156,12 +156,12 @@
 	r.heard = now
 	r.known = m.Nodes
 	r.restartTimer(now)
-	r.learnCommit(m)
+	r.learnCommit(m, now)
 	if e := m.Entry; e != nil && newer(e.Term, e.Index, r.record.Entry.Term, r.record.Entry.Index) {
 		r.record.Entry = *e
 		r.changed(now)
 		r.entryFrom = r.serial
-		r.learnCommit(m)
+		r.learnCommit(m, now)
 	}
 	r.send(m.From, Message{
 		Kind:  KindAppendReply,
@@ -170,10 +170,10 @@
 }
 
 // learnCommit notes that the entry held here is committed.
-func (r *Replica) learnCommit(m Message) {
+func (r *Replica) learnCommit(m Message, now time.Time) {
 	entry := r.record.Entry
 	if entry.Term == m.Term && entry.Index <= m.Commit && entry.Index > r.committed.Index {
-		r.committed = entry
+		r.settle(entry, now)
 	}
 }
 
@@ -209,7 +209,7 @@
 	if count < majority(len(entry.Voters)) {
 		return
 	}
-	r.committed = *entry
+	r.settle(*entry, now)
 	r.beatAll(now)
 }
 
--- a/core/zfquorum/message.go
+++ b/core/zfquorum/message.go
@@ -42,6 +42,9 @@
 	Term  uint64
 	Vote  ID
 	Entry Entry
+	// Committed is an entry that a majority had on disk. It may be older than the
+	// newest such entry, as it is not saved for its own sake during changes.
+	Committed Entry
 }
 
 // Kind tells what a message is for.
--- a/core/zfquorum/replica.go
+++ b/core/zfquorum/replica.go
@@ -51,6 +51,10 @@
 	replaceAfter = 6 * time.Second
 	// forgetAfter is the silence after which a node without a vote is forgotten.
 	forgetAfter = 20 * time.Second
+	// settleAfter is the time without changes after which it is put on disk that
+	// the last one is committed: a few changes of a storm, so that storms are not
+	// slowed down.
+	settleAfter = time.Second
 )
 
 // role is what a replica does in its term.
@@ -105,6 +109,8 @@
 	known     []Node
 	round     uint64
 	committed Entry
+	// committedAt is when committed became known.
+	committedAt time.Time
 	// ledFrom is the index of the first entry of this leader's own term.
 	ledFrom uint64
 	outbox  []held
@@ -113,10 +119,11 @@
 // New returns a replica. now starts its first election timeout.
 func New(config Config, now time.Time) *Replica {
 	r := &Replica{
-		config: config,
-		record: config.Record,
-		votes:  make(map[ID]bool),
-		peers:  make(map[ID]*peer),
+		config:    config,
+		record:    config.Record,
+		committed: config.Record.Committed,
+		votes:     make(map[ID]bool),
+		peers:     make(map[ID]*peer),
 	}
 	r.record.Self = config.Self.ID
 	r.serial = 1
@@ -244,9 +251,16 @@
 	if r.saved == r.serial {
 		r.unsaved = now
 	}
+	r.record.Committed = r.committed
 	r.serial++
 }
 
+// settle notes that an entry is on the disks of a majority.
+func (r *Replica) settle(entry Entry, now time.Time) {
+	r.committed = entry
+	r.committedAt = now
+}
+
 // send queues a message until what it promises is on disk.
 func (r *Replica) send(to Node, message Message) {
 	message.From = r.config.Self
@@ -301,6 +315,9 @@
 	if r.role == roleCandidate && r.serial == r.saved && r.elected() {
 		r.takeLead(now) // The only voter.
 	}
+	if r.record.Committed.Index != r.committed.Index && now.Sub(r.committedAt) >= settleAfter {
+		r.changed(now)
+	}
 }
 
 func (r *Replica) restartTimer(now time.Time) {
--- a/core/zfquorum/schedule_test.go
+++ b/core/zfquorum/schedule_test.go
@@ -133,6 +133,52 @@
 	})
 }
 
+func TestRestartAlone(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// idle is the time between the last change and the power loss, behind by
+		// how many entries what a machine knows alone may be out of date.
+		idle   time.Duration
+		behind uint64
+	}{
+		{
+			name:   "a machine alone knows the state that was committed last",
+			idle:   2 * time.Second,
+			behind: 0,
+		},
+		{
+			name:   "right after a change it may know the one before",
+			idle:   0,
+			behind: 1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cluster := newCluster(t, 1, 3, 1)
+			cluster.calm = true
+			cluster.runFor(0, 3*time.Second)
+			leader := lead(t, cluster)
+			before := cluster.acked
+			for cluster.acked == before {
+				cluster.actAt(leader)
+				cluster.advance()
+			}
+			last := cluster.machines[leader].replica.Committed().Index
+			for end := cluster.now.Add(c.idle); cluster.now.Before(end); {
+				cluster.advance()
+			}
+			for i := range cluster.machines {
+				cluster.kill(i, true, time.Hour)
+			}
+			cluster.letters = nil
+			cluster.machines[0].down = cluster.now
+			cluster.advance()
+			replica := cluster.machines[0].replica
+			zfassert.True(t, "known entry", replica.Committed().Index+c.behind >= last)
+			zfassert.True(t, "it is no leader", !replica.Leading())
+		})
+	}
+}
+
 func TestReplay(t *testing.T) {
 	run := func() *cluster {
 		c := newCluster(t, 7, 4, 1)
