Followers find the first control instance that is back sooner

Cause: after a power loss a follower waited 250 ms for each machine that was still dark, and 150 ms after each round. Change: connections time out after 100 ms; pauses between rounds begin at 25 ms and double up to 200 ms. TestFollower, "the first rounds", failed before.

--- a/io/zfcluster/client.go
+++ b/io/zfcluster/client.go
@@ -13,8 +13,9 @@
 )
 
 // dialTimeout bounds the wait for a connection; a machine without power or
-// behind a partition doesn't answer at all.
-const dialTimeout = 250 * time.Millisecond
+// behind a partition doesn't answer at all. It is twice a round trip between
+// regions.
+const dialTimeout = 100 * time.Millisecond
 
 // Client calls one other instance. It keeps its connection, and replaces one
 // that has gone silent. It is safe for concurrent use.
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -25,8 +25,10 @@
 	staleContact = 1200 * time.Millisecond
 	// staleHold is how long one that is out of touch is given.
 	staleHold = 250 * time.Millisecond
-	// retryPause is the pause after all known control instances were tried.
-	retryPause = 150 * time.Millisecond
+	// retryLeast and retryMost bound the pause after all known instances were
+	// tried. It begins short, as a process starts within some 50 ms, and doubles.
+	retryLeast = 25 * time.Millisecond
+	retryMost  = 200 * time.Millisecond
 	// nearEvery is the time between two attempts to get back to a control
 	// instance of the own data centre, as bytes between data centres are dear.
 	nearEvery = 5 * time.Second
@@ -64,7 +66,9 @@
 	source uint64
 	cursor uint64
 	next   int
-	lost   bool
+	// pause is the pause after the next round without success.
+	pause time.Duration
+	lost  bool
 	// told is the index of the control state that was told last. One that can't
 	// be read here is not asked for again.
 	told uint64
@@ -82,6 +86,7 @@
 	return &Follower{
 		config: config,
 		seeds:  make(chan []netip.AddrPort, 1),
+		pause:  retryLeast,
 	}
 }
 
@@ -123,7 +128,8 @@
 	candidates := slices.Concat(controls, f.peers)
 	if f.next >= len(candidates) {
 		f.next = 0
-		pause, release := f.config.Clock.After(retryPause)
+		pause, release := f.config.Clock.After(f.pause)
+		f.pause = min(2*f.pause, retryMost)
 		defer release()
 		select {
 		case <-ctx.Done():
@@ -221,6 +227,7 @@
 	case first:
 		f.note(false, nil)
 		f.next = 0
+		f.pause = retryLeast
 	}
 }
 
--- a/io/zfcluster/follower_test.go
+++ b/io/zfcluster/follower_test.go
@@ -66,15 +66,35 @@
 	return address, i
 }
 
+// pauses is a clock whose waits are over at once; it tells how long they were.
+type pauses chan time.Duration
+
+func (pauses) Now() time.Time { return time.Unix(0, 0) }
+
+func (p pauses) After(d time.Duration) (<-chan time.Time, func()) {
+	select {
+	case p <- d:
+	default: // Enough has been seen.
+	}
+	over := make(chan time.Time)
+	close(over)
+	return over, func() {}
+}
+
 // follow follows the seeds and returns the sources of the replies that come.
 func follow(t testing.TB, centre zf.CentreName, seeds ...netip.AddrPort) <-chan uint64 {
+	t.Helper()
+	return followBy(t, zfclock.System{}, centre, seeds...)
+}
+
+func followBy(t testing.TB, clock zf.Clock, centre zf.CentreName, seeds ...netip.AddrPort) <-chan uint64 {
 	t.Helper()
 	sources := make(chan uint64, 1024)
 	follower := zfcluster.NewFollower(zfcluster.FollowerConfig{
 		Instance: "e1",
 		Centre:   centre,
 		Seeds:    seeds,
-		Clock:    zfclock.System{},
+		Clock:    clock,
 		Logger: zfevent.New(zfevent.Config{
 			Output: io.Discard,
 			Level:  "error",
@@ -156,6 +176,13 @@
 		zfassert.Equal(t, "first index", first.Index, uint64(0))
 		zfassert.Equal(t, "second index", second.Index, uint64(9))
 	})
+	t.Run("the first rounds without an answer follow each other quickly", func(t *testing.T) {
+		clock := make(pauses, 6)
+		followBy(t, clock, "one", freeAddress(t))
+		for _, want := range []time.Duration{25, 50, 100, 200, 200} {
+			zfassert.Equal(t, "pause", <-clock, want*time.Millisecond)
+		}
+	})
 	t.Run("the next fetch goes on where the last one ended", func(t *testing.T) {
 		address, i := serve(t, 6, zfcluster.FetchReply{
 			Changes: zfregistry.Changes{
