Heartbeats are told only when they begin to come to another instance

Cause: each control instance told each other one of every heartbeat, and looked at all rows, sorted, for each subscriber and fetch. At 300 machines control instances used 52 to 75 % of their processor share for it, answers were late, and entry instances began new sessions with the whole table. Change: a row names the process that hears its heartbeats. That one tells when they begin to come and when they are overdue; the others take its word as long as it tells anything at all, and count the silence from then on. Rows are kept in the order of their changes, so that a subscriber costs what changed. The table is saved less often the larger it is.

--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -14,9 +14,12 @@
 	Late   bool
 	// Age is the time since the last heartbeat.
 	Age time.Duration
+	// Heard tells that heartbeats come to the sender itself.
+	Heard bool
 }
 
-// Beat tells that a backend server sent a heartbeat that changes nothing else.
+// Beat tells that heartbeats of a backend server come to the sender now, and
+// nothing else has changed.
 type Beat struct {
 	Server   zf.ServerName
 	Born     time.Time
@@ -26,54 +29,62 @@
 
 // Changes is what a subscriber gets.
 type Changes struct {
+	// From is the sender.
+	From    Source
 	Updates []Update
 	Beats   []Beat
 	// Cursor is what to ask with for the changes that follow.
 	Cursor uint64
 }
 
-// Since returns the rows that changed after cursor, all of them for cursor 0.
-// Heartbeats that change nothing else are left out unless beats is set.
+// Since returns the rows that changed after cursor, all of them for cursor 0, the
+// latest change first. Heartbeats that only come to another instance than before
+// are left out unless beats is set.
 func (t *Table) Since(cursor uint64, beats bool, now time.Time) Changes {
 	changes := Changes{
+		From:   t.config.Self,
 		Cursor: t.revision,
 	}
-	if cursor == t.revision {
-		return changes
-	}
-	for _, row := range t.Rows() {
+	for place := t.recent.Back(); place != nil; place = place.Prev() {
+		row := place.Value.(*Row)
 		switch {
+		case row.beat <= cursor && cursor != 0:
+			return changes
 		case row.news > cursor || cursor == 0:
-			changes.Updates = append(changes.Updates, row.update(now))
-		case beats && row.beat > cursor:
+			changes.Updates = append(changes.Updates, t.update(row, now))
+		case beats:
 			changes.Beats = append(changes.Beats, Beat{
 				Server:   row.Server,
 				Born:     row.Born,
 				Sequence: row.Sequence,
-				Age:      now.Sub(row.Heard),
+				Age:      now.Sub(t.lastHeard(row)),
 			})
 		}
 	}
 	return changes
 }
 
-func (r *Row) update(now time.Time) Update {
+func (t *Table) update(r *Row, now time.Time) Update {
 	u := Update{
 		Announcement: r.Announcement,
 		Status:       r.Status,
 		Proven:       r.Proven,
 		Late:         r.Late,
-		Age:          now.Sub(r.Heard),
+		Age:          now.Sub(t.lastHeard(r)),
+		Heard:        r.hearer == t.config.Self && !t.config.Follower,
 	}
 	u.Cold = max(r.ColdUntil.Sub(now), 0)
 	return u
 }
 
-// Merge takes what another instance told. It returns the number of beats of
+// Merge takes what another instance told, in the order in which it changed there. It returns the number of beats of
 // backend servers that are not known here.
 func (t *Table) Merge(changes Changes, now time.Time) int {
-	for _, update := range changes.Updates {
-		t.merge(update, now)
+	if changes.From != 0 {
+		t.told[changes.From] = now
+	}
+	for i := range changes.Updates {
+		t.merge(&changes.Updates[len(changes.Updates)-1-i], changes.From, now)
 	}
 	unknown := 0
 	for _, beat := range changes.Beats {
@@ -90,11 +101,12 @@
 		a.Cold = max(row.ColdUntil.Sub(now), 0)
 		t.take(row, a, now)
 		row.Heard = now.Add(-beat.Age)
+		row.hearer = changes.From
 	}
 	return unknown
 }
 
-func (t *Table) merge(u Update, now time.Time) {
+func (t *Table) merge(u *Update, from Source, now time.Time) {
 	known := t.rows[keyOf(u.Server, u.Born)]
 	if known == nil && u.Status == zf.ServerGone && !u.Proven {
 		return
@@ -112,16 +124,19 @@
 		if !t.config.Follower {
 			row.Heard = now.Add(-u.Age)
 		}
-		t.adopt(row, u, now)
+		t.adopt(row, u, from, now)
 	case u.Sequence == row.Sequence:
-		t.adopt(row, u, now)
+		t.adopt(row, u, from, now)
 	}
 }
 
-// adopt takes the sender's word on who is silent, in a table that doesn't
-// decide that itself.
-func (t *Table) adopt(row *Row, u Update, now time.Time) {
-	if !t.config.Follower {
+// adopt takes the word of a sender that hears the backend server on its silence;
+// a follower takes that of whom it follows.
+func (t *Table) adopt(row *Row, u *Update, from Source, now time.Time) {
+	if u.Heard && !t.config.Follower {
+		row.hearer = from
+	}
+	if !u.Heard && !t.config.Follower {
 		return
 	}
 	if u.Late != row.Late {
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"net/netip"
 	"slices"
 	"time"
@@ -13,8 +14,14 @@
 	zf "zinniafront"
 )
 
+// Source identifies one run of a process that tells others of backend servers;
+// zero stands for none.
+type Source uint64
+
 // Config holds the constants of a table.
 type Config struct {
+	// Self is the process that the table belongs to.
+	Self Source
 	// Late is the silence after which a heartbeat is overdue.
 	Late time.Duration
 	// Expiry is the silence after which a backend server gets no new flows.
@@ -48,10 +55,11 @@
 	coldSlack = 400 * time.Millisecond
 )
 
-// DefaultConfig returns the constants for backend servers that send a heartbeat
-// each interval.
-func DefaultConfig(interval time.Duration) Config {
+// DefaultConfig returns the constants of a process for backend servers that send
+// a heartbeat each interval.
+func DefaultConfig(self Source, interval time.Duration) Config {
 	return Config{
+		Self:   self,
 		Late:   interval*3/2 + callTimeout + lateSlack,
 		Expiry: missedBeats * interval,
 		Gone:   4 * missedBeats * interval,
@@ -78,8 +86,12 @@
 type Row struct {
 	zf.Announcement
 	ID zf.ServerID
-	// Heard is when the last heartbeat came in, here or at another instance.
+	// Heard is when the last heartbeat came in that is known here.
 	Heard time.Time
+	// hearer is the process that heartbeats come to. It tells others when they
+	// begin to come and when they are overdue, not each of them: nothing must grow
+	// with backend servers times control instances.
+	hearer Source
 	// ColdUntil is when the backend server's cold start ends.
 	ColdUntil time.Time
 	// Status is the state as the system sees it, State the announced one.
@@ -91,11 +103,12 @@
 	Late bool
 	// since is when Status became ServerGone.
 	since time.Time
-	// news and beat are the revisions of the last change and of the last
-	// heartbeat that came to this instance itself. Heartbeats are not told on:
-	// each instance would tell each other one of all of them.
+	// news is the revision of the last change, beat that of the last time that
+	// this instance began to hear heartbeats, or of the last change.
 	news uint64
 	beat uint64
+	// place is the row's element in Table.recent.
+	place *list.Element
 }
 
 // Table holds the backend servers.
@@ -104,9 +117,14 @@
 	rows      map[Key]*Row
 	names     map[zf.ServerName]*Row
 	addresses map[netip.AddrPort]*Row
-	revision  uint64
-	news      uint64
-	nextID    zf.ServerID
+	// recent holds all rows by beat, so that a subscriber's changes are found
+	// without a look at the others.
+	recent *list.List
+	// told is when each other process told anything last.
+	told     map[Source]time.Time
+	revision uint64
+	news     uint64
+	nextID   zf.ServerID
 }
 
 // New returns a table without rows.
@@ -116,12 +134,17 @@
 		rows:      make(map[Key]*Row),
 		names:     make(map[zf.ServerName]*Row),
 		addresses: make(map[netip.AddrPort]*Row),
+		recent:    list.New(),
+		told:      make(map[Source]time.Time),
 	}
 }
 
 // News changes whenever a row changes by more than a heartbeat.
 func (t *Table) News() uint64 { return t.news }
 
+// Size returns the number of rows.
+func (t *Table) Size() int { return len(t.rows) }
+
 // Rows returns all rows, sorted by name and birth. They must not be changed.
 func (t *Table) Rows() []*Row {
 	rows := make([]*Row, 0, len(t.rows))
@@ -147,13 +170,21 @@
 	if row == nil {
 		return reason
 	}
-	if !t.take(row, a, now) {
+	moved := row.hearer != t.config.Self
+	row.hearer = t.config.Self
+	if !t.take(row, a, now) && moved {
 		t.revision++
-		row.beat = t.revision
+		t.touch(row)
 	}
 	return zf.ReasonNone
 }
 
+// touch puts a row at the end of those told to others.
+func (t *Table) touch(row *Row) {
+	row.beat = t.revision
+	t.recent.MoveToBack(row.place)
+}
+
 // insert returns the row of an announcement. It returns nil where the backend
 // server is known to have ended, or the table is full.
 func (t *Table) insert(a zf.Announcement, now time.Time) (*Row, zf.Reason) {
@@ -171,6 +202,7 @@
 		ID:           t.nextID,
 		Status:       zf.ServerGone,
 	}
+	row.place = t.recent.PushBack(row)
 	t.nextID++
 	t.end(t.names[a.Server], true, now)
 	t.end(t.addresses[a.Address], true, now)
@@ -203,7 +235,7 @@
 	t.revision++
 	t.news = t.revision
 	row.news = t.revision
-	row.beat = t.revision
+	t.touch(row)
 }
 
 // take updates a row by an announcement that is newer than what it holds. It
@@ -268,92 +300,3 @@
 	t.end(row, true, now)
 	return zf.ReasonNone
 }
-
-// Tick expires silent rows, if this instance decides on that. hearing is since
-// when every heartbeat could have arrived; the zero value tells that it can't
-// now. It also ends cold starts and forgets rows that have long been gone.
-func (t *Table) Tick(now, hearing time.Time) {
-	for key, row := range t.rows {
-		if row.Status == zf.ServerGone {
-			t.forget(key, row, now)
-			continue
-		}
-		if row.Status == zf.ServerCold && !now.Before(row.ColdUntil) {
-			row.Status = zf.ServerWarm
-			t.changed(row)
-		}
-		if !t.config.Follower && !hearing.IsZero() {
-			t.expire(row, now, hearing)
-		}
-	}
-}
-
-func (t *Table) expire(row *Row, now, hearing time.Time) {
-	since := row.Heard
-	if hearing.After(since) {
-		since = hearing
-	}
-	switch silent := now.Sub(since); {
-	case silent >= t.config.Gone:
-		t.end(row, false, now)
-	case silent >= t.config.Expiry && row.Status != zf.ServerSilent:
-		row.Status = zf.ServerSilent
-		t.changed(row)
-	case silent >= t.config.Late && !row.Late:
-		row.Late = true
-		t.changed(row)
-	}
-}
-
-func (t *Table) forget(key Key, row *Row, now time.Time) {
-	if now.Sub(row.since) < t.config.Keep {
-		return
-	}
-	delete(t.rows, key)
-	if t.names[row.Server] == row {
-		delete(t.names, row.Server)
-	}
-	if t.addresses[row.Address] == row {
-		delete(t.addresses, row.Address)
-	}
-	t.revision++
-	t.news = t.revision
-}
-
-// coldWeight is the share of new flows that a cold backend server gets: during
-// its start it needs about twice the time for a request.
-const coldWeight = 0.5
-
-func (r *Row) weight() float64 {
-	switch r.Status {
-	case zf.ServerWarm:
-		return 1
-	case zf.ServerCold:
-		return coldWeight
-	default:
-		return 0
-	}
-}
-
-// View returns all rows, sorted by name. out holds the data centres taken out.
-func (t *Table) View(out []zf.CentreName) []zf.ServerView {
-	rows := t.Rows()
-	view := make([]zf.ServerView, 0, len(rows))
-	for _, row := range rows {
-		view = append(view, zf.ServerView{
-			ID:      row.ID,
-			Name:    row.Server,
-			Service: row.Service,
-			Centre:  row.Centre,
-			Address: row.Address,
-			State:   row.Status,
-			Weight:  row.weight(),
-			Allowed: !slices.Contains(out, row.Centre),
-			Born:    row.Born,
-			Number:  row.Number,
-			Proven:  row.Proven,
-			Late:    row.Late,
-		})
-	}
-	return view
-}
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -45,7 +45,7 @@
 		Mapper: zfcookie.New(zfcookie.Config{
 			Seed: flowSeed,
 		}),
-		Registry: zfregistry.DefaultConfig(settings.Platform.Interval),
+		Registry: zfregistry.DefaultConfig(zfregistry.Source(source), settings.Platform.Interval),
 	})
 	return zfforwardloop.New(zfforwardloop.Config{
 		World:  world,
--- a/io/command/zfservecmd/keeper.go
+++ b/io/command/zfservecmd/keeper.go
@@ -77,7 +77,7 @@
 			Seeds:  seeds,
 			Voters: 2*p.Settings.Platform.Losses + 1,
 		},
-		Registry: zfregistry.DefaultConfig(p.Settings.Platform.Interval),
+		Registry: zfregistry.DefaultConfig(zfregistry.Source(p.Source), p.Settings.Platform.Interval),
 		Decode:   p.Bundles.decode,
 	}, p.Factory.Clock.Now())
 	loop := zfkeeperloop.New(zfkeeperloop.Config{
--- a/io/zfkeeperloop/servers.go
+++ b/io/zfkeeperloop/servers.go
@@ -11,9 +11,13 @@
 	"zinniafront/io/zfevent"
 )
 
-// serversEvery is the shortest time between two saves of the backend servers. A
-// table that is older than a heartbeat is brought up to date by the next one.
-const serversEvery = time.Second
+// The pause between two saves of the backend servers: a table that is older than
+// a heartbeat is brought up to date by the next one. It grows with the table, so
+// that saves take some 50 KB a second at most.
+const (
+	serversEvery = time.Second
+	serversPause = 2 * time.Millisecond // For each backend server.
+)
 
 // LoadServers takes the backend servers from disk, as they were before a power
 // loss. Those that are gone since will be found silent.
@@ -39,12 +43,14 @@
 // saveServers hands the backend servers to the disk's goroutine where they have
 // changed.
 func (l *Loop) saveServers(now time.Time) {
-	news := l.config.World.Registry().News()
-	if news == l.serversSaved || now.Sub(l.serversAt) < serversEvery {
+	registry := l.config.World.Registry()
+	news := registry.News()
+	pause := max(serversEvery, time.Duration(registry.Size())*serversPause)
+	if news == l.serversSaved || now.Sub(l.serversAt) < pause {
 		return
 	}
 	select {
-	case l.servers <- l.config.World.Registry().Since(0, false, now).Updates:
+	case l.servers <- registry.Since(0, false, now).Updates:
 		l.serversSaved = news
 		l.serversAt = now
 	default: // The disk is still busy with an earlier table.
