Sessions with another instance begin with digests

Cause: a follower that turned to another control instance sent its whole table and got a whole one; at 300 machines answers that were late once made all sessions begin anew, 192 kB a second at an entry instance. Change: the first fetch carries digests of 256 buckets; the answer has the rows of those that differ, and the next fetch the rows that the other one lacks. TestDigests is new.

--- /dev/null
+++ b/core/zfregistry/digest_test.go
@@ -0,0 +1,131 @@
+package zfregistry_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfregistry"
+	"zinniafront/lab/zfassert"
+)
+
+// fill announces backend servers s0 to s<count-1>.
+func fill(table *zfregistry.Table, count int) {
+	for n := range count {
+		a := beat(zf.ServerName(fmt.Sprintf("s%d", n)), born, 1)
+		a.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 80)
+		table.Announce(a, start)
+	}
+}
+
+// assertSame fails the test unless two tables hold the same.
+func assertSame(t testing.TB, one, two *zfregistry.Table) {
+	t.Helper()
+	zfassert.Equal(t, "digests", one.Digests(), two.Digests())
+}
+
+func TestDigests(t *testing.T) {
+	const count = 2000
+	for _, c := range []struct {
+		name string
+		// change makes the tables differ; told and owed bound the rows that go
+		// each way.
+		change func(here, there *zfregistry.Table)
+		told   int
+		owed   int
+	}{
+		{
+			name:   "tables that are the same need no rows",
+			change: func(_, _ *zfregistry.Table) {},
+		},
+		{
+			name: "heartbeats make no difference",
+			change: func(here, _ *zfregistry.Table) {
+				for n := range count {
+					row := here.Find(zf.ServerName(fmt.Sprintf("s%d", n))).Announcement
+					row.Sequence = 9
+					here.Announce(row, start)
+				}
+			},
+		},
+		{
+			name:   "a row that ended costs its bucket",
+			change: func(here, _ *zfregistry.Table) { here.Leave("s7", born, start) },
+			told:   30,
+		},
+		{
+			name: "what the sender lacks is owed",
+			change: func(_, there *zfregistry.Table) {
+				row := there.Find("s7").Announcement
+				row.Sequence = 5
+				row.State = zf.ServerDraining
+				there.Announce(row, start)
+			},
+			told: 30,
+			owed: 1,
+		},
+		{
+			name: "a backend server that only one knows",
+			change: func(_, there *zfregistry.Table) {
+				there.Announce(beat("new", born, 1), start)
+			},
+			told: 30,
+			owed: 1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			here, there := newTable(), newTableOf(other)
+			fill(here, count)
+			there.Merge(here.Since(0, true, start), start)
+			c.change(here, there)
+			changes := here.Differing(there.Digests(), start)
+			there.Merge(changes, start)
+			owed := there.Lacking(changes, start)
+			here.Merge(zfregistry.Changes{
+				Updates: owed,
+			}, start)
+			zfassert.AtMost(t, "rows told", float64(len(changes.Updates)), float64(c.told))
+			zfassert.AtMost(t, "rows owed", float64(len(owed)), float64(c.owed))
+			assertSame(t, here, there)
+		})
+	}
+	t.Run("an empty table gets all", func(t *testing.T) {
+		here, there := newTable(), newTableOf(other)
+		fill(here, count)
+		there.Merge(here.Differing(there.Digests(), start), start)
+		zfassert.Equal(t, "rows", there.Size(), count)
+	})
+	t.Run("digests of another size get all", func(t *testing.T) {
+		here := newTable()
+		fill(here, count)
+		zfassert.Equal(t, "rows", len(here.Differing([]uint64{1, 2}, start).Updates), count)
+	})
+	t.Run("one that was found silent is no difference to who never knew it", func(t *testing.T) {
+		here := newTable()
+		fill(here, 1)
+		here.Tick(start.Add(16*interval), start)
+		assertSame(t, here, newTableOf(other))
+	})
+}
+
+func BenchmarkDigests(b *testing.B) {
+	table := newTable()
+	fill(table, 9100)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Differing(table.Digests(), start)
+	}
+}
+
+func BenchmarkSince(b *testing.B) {
+	table := newTable()
+	fill(table, 9100)
+	cursor := table.Since(0, false, start).Cursor
+	table.Leave("s7", born, start)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Since(cursor, true, start.Add(time.Second))
+	}
+}
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -33,6 +33,8 @@
 	From    Source
 	Updates []Update
 	Beats   []Beat
+	// Buckets are those of which Updates holds all rows, at the start of a session.
+	Buckets []int
 	// Cursor is what to ask with for the changes that follow.
 	Cursor uint64
 }
@@ -77,7 +79,8 @@
 	return u
 }
 
-// Merge takes what another instance told, in the order in which it changed there. It returns the number of beats of
+// Merge takes what another instance told, in the order in which it changed there.
+// An entry instance that tells is no source. It returns the number of beats of
 // backend servers that are not known here.
 func (t *Table) Merge(changes Changes, now time.Time) int {
 	if changes.From != 0 {
@@ -121,7 +124,7 @@
 		t.end(row, true, now)
 	case known == nil || u.Sequence > row.Sequence:
 		t.take(row, u.Announcement, now)
-		if !t.config.Follower {
+		if !t.config.Follower && from != 0 { // An entry instance doesn't know the age.
 			row.Heard = now.Add(-u.Age)
 		}
 		t.adopt(row, u, from, now)
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -16,6 +16,9 @@
 	News() uint64
 	// Since returns the backend servers that changed after cursor.
 	Since(cursor uint64, beats bool, now time.Time) zfregistry.Changes
+	// Differing returns the backend servers of which another table has other
+	// digests.
+	Differing(digests []uint64, now time.Time) zfregistry.Changes
 	// Published returns the control state.
 	Published() Published
 	// Contact returns how long ago a majority of the control instances was heard
@@ -164,20 +167,13 @@
 	})
 }
 
-// reply returns the news for one fetch. changes holds what was gathered for
+// reply returns the news for one fetch. gathered holds what was gathered for
 // entry instances with the same cursor.
-func (f *Feed) reply(args FetchArgs, changes map[uint64]zfregistry.Changes, now time.Time) FetchReply {
-	known, ok := changes[args.Cursor]
-	if !ok || args.Control {
-		known = f.config.Source.Since(args.Cursor, args.Control, now)
-	}
-	if !args.Control {
-		changes[args.Cursor] = known
-	}
+func (f *Feed) reply(args FetchArgs, gathered map[uint64]zfregistry.Changes, now time.Time) FetchReply {
 	published := f.config.Source.Published()
 	reply := FetchReply{
 		Source:   f.config.ID,
-		Changes:  known,
+		Changes:  f.changes(args, gathered, now),
 		Index:    published.Index,
 		Contact:  f.config.Source.Contact(now),
 		Controls: f.config.Source.Controls(now),
@@ -191,6 +187,22 @@
 	return reply
 }
 
+// changes returns the backend servers that are news for a fetch.
+func (f *Feed) changes(args FetchArgs, gathered map[uint64]zfregistry.Changes, now time.Time) zfregistry.Changes {
+	switch {
+	case !f.Known(args) && args.Digests != nil:
+		return f.config.Source.Differing(args.Digests, now)
+	case args.Control:
+		return f.config.Source.Since(args.Cursor, true, now)
+	}
+	changes, ok := gathered[args.Cursor]
+	if !ok {
+		changes = f.config.Source.Since(args.Cursor, false, now)
+		gathered[args.Cursor] = changes
+	}
+	return changes
+}
+
 // peers returns other followers, those in the asker's data centre first.
 func (f *Feed) peers(args FetchArgs, now time.Time) []netip.AddrPort {
 	if !f.config.Peers {
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -34,6 +34,10 @@
 	return s.registry.Since(cursor, beats, now)
 }
 
+func (s *state) Differing(digests []uint64, now time.Time) zfregistry.Changes {
+	return s.registry.Differing(digests, now)
+}
+
 func (s *state) Published() zfcluster.Published { return s.published }
 
 func (s *state) Contact(time.Time) time.Duration { return s.contact }
@@ -125,6 +129,14 @@
 		control.Cursor = assertAnswered(t, feed, args).Changes.Cursor
 		assertHeld(t, feed, control)
 	})
+	t.Run("one that comes from another instance gets what it lacks", func(t *testing.T) {
+		fetch := zfcluster.FetchArgs{
+			Digests: zfregistry.New(zfregistry.DefaultConfig(2, time.Second)).Digests(),
+		}
+		zfassert.Equal(t, "backend servers", len(assertAnswered(t, feed, fetch).Changes.Updates), 1)
+		fetch.Digests = s.registry.Digests()
+		zfassert.Equal(t, "backend servers", len(assertAnswered(t, feed, fetch).Changes.Updates), 0)
+	})
 	t.Run("a cursor of another run of the process gets all", func(t *testing.T) {
 		other := args
 		other.Source = 8
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -46,11 +46,11 @@
 	Logger *zfevent.Logger
 	// Time gets how long each fetch took.
 	Time metrics.Timer
-	// Known returns the index of the control state in force here, and the
-	// backend servers known here if rows is set.
-	Known func(rows bool) (uint64, []zfregistry.Update)
-	// Take takes news.
-	Take func(reply FetchReply)
+	// Known returns the index of the control state in force here, and digests of
+	// the backend servers known here if first is set.
+	Known func(first bool) (uint64, []uint64)
+	// Take takes news. It returns the backend servers that the sender lacks.
+	Take func(reply FetchReply) []zfregistry.Update
 }
 
 // Follower has one control instance tell the news, and turns to another when
@@ -69,6 +69,8 @@
 	// pause is the pause after the next round without success.
 	pause time.Duration
 	lost  bool
+	// owed are the backend servers that the other instance lacks.
+	owed []zfregistry.Update
 	// told is the index of the control state that was told last. One that can't
 	// be read here is not asked for again.
 	told uint64
@@ -140,6 +142,7 @@
 	f.client = NewClient(candidates[f.next], f.config.Clock)
 	f.source = 0
 	f.cursor = 0
+	f.owed = nil
 	f.told = 0
 	f.stale = false
 	f.peer = f.next >= len(controls)
@@ -178,7 +181,7 @@
 
 // fetch asks for news once and hands it on.
 func (f *Follower) fetch() {
-	index, rows := f.config.Known(f.source == 0)
+	index, digests := f.config.Known(f.source == 0)
 	hold := fetchHold
 	switch {
 	case f.source == 0:
@@ -194,7 +197,8 @@
 		Source:   f.source,
 		Cursor:   f.cursor,
 		Index:    max(index, f.told),
-		Rows:     rows,
+		Digests:  digests,
+		Rows:     f.owed,
 		Hold:     hold,
 	}, hold+fetchMargin)
 	f.config.Time.Update(f.config.Clock.Now().Sub(start))
@@ -211,7 +215,7 @@
 	if len(reply.Peers) > 0 {
 		f.peers = reply.Peers
 	}
-	f.config.Take(reply)
+	f.owed = f.config.Take(reply)
 	if reply.Contact < staleContact {
 		f.stale = false
 	}
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -66,8 +66,11 @@
 	Cursor uint64
 	// Index is that of the control state that the asker has.
 	Index uint64
-	// Rows are the backend servers that the asker knows, sent when it turns to
-	// another control instance.
+	// Digests tell what the asker knows of backend servers when it turns to another
+	// instance, which then sends those rows that differ.
+	Digests []uint64
+	// Rows are the backend servers that the answering instance lacks, as its last
+	// answer showed.
 	Rows []zfregistry.Update
 	// Hold is how long the answer may be held back while there is no news.
 	Hold time.Duration
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -28,6 +28,11 @@
 	return l.config.World.Registry().Since(cursor, beats, now)
 }
 
+// Differing implements zfcluster.Source.
+func (l *Loop) Differing(digests []uint64, now time.Time) zfregistry.Changes {
+	return l.config.World.Registry().Differing(digests, now)
+}
+
 // Published implements zfcluster.Source.
 func (l *Loop) Published() zfcluster.Published {
 	state := l.config.World.State()
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -104,6 +104,22 @@
 	}
 }
 
+// do runs a function on the control goroutine and waits for it, unless the loop
+// has ended.
+func (l *Loop) do(apply func(now time.Time)) {
+	finished := make(chan struct{})
+	if !l.put(func(now time.Time) {
+		apply(now)
+		close(finished)
+	}) {
+		return
+	}
+	select {
+	case <-finished:
+	case <-l.done:
+	}
+}
+
 // Mapper returns the mapper, whose Route is for the traffic goroutines.
 func (l *Loop) Mapper() zf.Mapper { return l.config.World.Mapper() }
 
@@ -122,26 +138,19 @@
 	l.put(func(time.Time) { l.config.World.Stop() })
 }
 
-// Known returns the index of the control state in force here, and the backend
-// servers known here if rows is set.
-func (l *Loop) Known(rows bool) (uint64, []zfregistry.Update) {
-	if !rows {
-		return l.index.Load(), nil
-	}
-	reply := make(chan []zfregistry.Update, 1)
-	if !l.put(func(now time.Time) { reply <- l.config.World.Registry().Since(0, false, now).Updates }) {
-		return l.index.Load(), nil
-	}
-	select {
-	case updates := <-reply:
-		return l.index.Load(), updates
-	case <-l.done:
-		return l.index.Load(), nil
+// Known returns the index of the control state in force here, and digests of the
+// backend servers known here if first is set.
+func (l *Loop) Known(first bool) (uint64, []uint64) {
+	var digests []uint64
+	if first {
+		l.do(func(time.Time) { digests = l.config.World.Registry().Digests() })
 	}
+	return l.index.Load(), digests
 }
 
-// Take takes news of a control instance.
-func (l *Loop) Take(reply zfcluster.FetchReply) {
+// Take takes news of a control instance. It returns the backend servers that the
+// sender lacks.
+func (l *Loop) Take(reply zfcluster.FetchReply) []zfregistry.Update {
 	news := zfforward.News{
 		Changes: reply.Changes,
 		Peers:   len(reply.Peers) > 0,
@@ -155,8 +164,8 @@
 			news.State = state
 		}
 	}
-	done := make(chan struct{})
-	if !l.put(func(now time.Time) {
+	var lacking []zfregistry.Update
+	l.do(func(now time.Time) {
 		l.informed.Store(now.UnixNano())
 		l.told = told{
 			contact:  now.Add(-reply.Contact),
@@ -165,14 +174,9 @@
 		if l.config.World.Learn(news, now) {
 			l.enforced()
 		}
-		close(done)
-	}) {
-		return
-	}
-	select {
-	case <-done:
-	case <-l.done:
-	}
+		lacking = l.config.World.Registry().Lacking(reply.Changes, now)
+	})
+	return lacking
 }
 
 // state reads the control state of a reply.
--- a/io/zfkeeperloop/feed.go
+++ b/io/zfkeeperloop/feed.go
@@ -22,6 +22,11 @@
 	return s.world.Registry().Since(cursor, beats, now)
 }
 
+// Differing implements zfcluster.Source.
+func (s source) Differing(digests []uint64, now time.Time) zfregistry.Changes {
+	return s.world.Registry().Differing(digests, now)
+}
+
 // Published implements zfcluster.Source.
 func (s source) Published() zfcluster.Published {
 	index, state := s.world.Published()
@@ -44,11 +49,9 @@
 func (l *Loop) Fetch(args zfcluster.FetchArgs) (zfcluster.FetchReply, error) {
 	reply := make(chan zfcluster.FetchReply, 1)
 	if !l.put(func(now time.Time) {
-		if !l.feed.Known(args) {
-			l.config.World.Registry().Merge(zfregistry.Changes{
-				Updates: args.Rows,
-			}, now)
-		}
+		l.config.World.Registry().Merge(zfregistry.Changes{
+			Updates: args.Rows,
+		}, now)
 		l.feed.Add(args, reply, now)
 	}) {
 		return zfcluster.FetchReply{}, ErrStopped
