Changes of backend servers in series travel together

Cause: each change woke every follower's fetch; with thousands of backend servers a control instance answered each of its followers for each of them. Change: a follower gets changes of backend servers 100 ms after its last fetch at the earliest; a new control state at once, as before. TestSeries failed before.

--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -37,6 +37,10 @@
 }
 
 const (
+	// newsEvery is the least time between two answers to a follower, but for a new
+	// control state: changes of backend servers that come in series travel
+	// together. It is a small part of the seconds that a drain may take.
+	newsEvery = 100 * time.Millisecond
 	// mostHold bounds how long a fetch is held back.
 	mostHold = 5 * time.Second
 	// followerTimeout is the silence after which a follower is forgotten: it
@@ -53,7 +57,10 @@
 
 // waiter is a fetch that is held back until there is news.
 type waiter struct {
-	args  FetchArgs
+	args FetchArgs
+	// from is when it may be answered with changes of backend servers, until when
+	// it is answered without news.
+	from  time.Time
 	until time.Time
 	reply chan<- FetchReply
 }
@@ -144,6 +151,7 @@
 	args.Rows = nil
 	f.waiters = append(f.waiters, waiter{
 		args:  args,
+		from:  now.Add(newsEvery),
 		until: now.Add(min(max(args.Hold, 0), mostHold)),
 		reply: reply,
 	})
@@ -158,7 +166,8 @@
 	news := f.config.Source.News()
 	changes := make(map[uint64]zfregistry.Changes)
 	f.waiters = slices.DeleteFunc(f.waiters, func(w waiter) bool {
-		fresh := !f.Known(w.args) || news > w.args.Cursor || !w.args.Control && index > w.args.Index
+		changed := news > w.args.Cursor && !now.Before(w.from)
+		fresh := !f.Known(w.args) || changed || !w.args.Control && index > w.args.Index
 		if !fresh && now.Before(w.until) {
 			return false
 		}
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -144,6 +144,40 @@
 	})
 }
 
+func TestSeries(t *testing.T) {
+	s := newState()
+	feed := newFeed(s)
+	first := assertAnswered(t, feed, zfcluster.FetchArgs{})
+	s.announce(1)
+	reply := make(chan zfcluster.FetchReply, 1)
+	feed.Add(zfcluster.FetchArgs{
+		Source: first.Source,
+		Cursor: first.Changes.Cursor,
+		Hold:   time.Second,
+	}, reply, start)
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		replies int
+	}{
+		{
+			name:    "a change right after the last answer waits for others",
+			after:   50 * time.Millisecond,
+			replies: 0,
+		},
+		{
+			name:    "but not for long",
+			after:   100 * time.Millisecond,
+			replies: 1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			feed.Wake(start.Add(c.after))
+			zfassert.Equal(t, "replies", len(reply), c.replies)
+		})
+	}
+}
+
 func follower(i int, centre zf.CentreName) zfcluster.FetchArgs {
 	return zfcluster.FetchArgs{
 		Instance: zf.InstanceName(fmt.Sprintf("e%d", i)),
