Backend servers that leave requests unanswered get no new flows

An entry instance alone sees too few requests of each to tell. Change: the cookie mapper follows each request from its packet to the first acknowledgement of something new; one that waits for 400 ms, or is given up, counts. Entry instances tell the counts of such backend servers with their fetches; control instances find those that are outliers of their service (zfoutlier), a quarter at most, and tell for how long they should get no new flows. Flows that are open on such a backend server still lose requests: a reset would be allowed only where the judgement is certain.

--- /dev/null
+++ b/core/zfcookie/attempt.go
@@ -0,0 +1,150 @@
+package zfcookie
+
+import (
+	"sync"
+	"time"
+
+	zf "zinniafront"
+)
+
+const (
+	// attemptRows is the size of the table: at 1,000 requests a second a second one
+	// is kept for two seconds, longer than callers wait before they repeat a packet.
+	attemptRows = 2048
+	// overdueAfter is the time after which a request counts as unanswered. Requests
+	// take some 20 ms; the shortest deadlines of callers are half a second.
+	overdueAfter = 400 * time.Millisecond
+	// mostGap is the time between two looks at the table after which this instance
+	// was suspended, and answers are not late but not seen.
+	mostGap = 5 * decayEvery
+)
+
+// attempts remembers the latest packets that ask for an answer, to see which of
+// them callers repeat and which requests get none.
+type attempts struct {
+	mutex sync.Mutex
+	rows  [attemptRows]attempt
+	swept time.Time
+}
+
+// attempt is the last packet of a flow that asked for an answer.
+type attempt struct {
+	hash uint64
+	// load is that of the backend server that got the packet.
+	load *load
+	// opening tells an opening packet from one with data, sequence is that of
+	// the latter.
+	opening  bool
+	sequence uint32
+	// asked is when the request went out that waits for an answer, in Unix
+	// nanoseconds, or 0. acknowledged is what the caller had got by then.
+	asked        int64
+	acknowledged uint32
+	// overdue tells that the request was counted as unanswered.
+	overdue bool
+}
+
+// open notes an opening packet.
+func (a *attempts) open(hash uint64, l *load) {
+	a.mutex.Lock()
+	a.rows[hash%attemptRows] = attempt{
+		hash:    hash,
+		load:    l,
+		opening: true,
+	}
+	a.mutex.Unlock()
+}
+
+// opened returns the load of the backend server that got the flow's last opening
+// packet and has not answered, or nil.
+func (a *attempts) opened(hash uint64) *load {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if row := &a.rows[hash%attemptRows]; row.hash == hash && row.opening {
+		return row.load
+	}
+	return nil
+}
+
+// send notes a packet with data. It reports whether the packet repeats the one
+// before, and whether it shows that an opening packet was answered.
+func (a *attempts) send(hash uint64, l *load, packet zf.Packet, now time.Time) (repeated, answered bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	row := &a.rows[hash%attemptRows]
+	if row.hash != hash || row.load != l {
+		*row = attempt{
+			hash: hash,
+			load: l,
+		}
+	} else {
+		repeated = !row.opening && row.sequence == packet.Sequence
+		answered = row.opening
+		row.advance(packet.Acknowledged)
+	}
+	row.opening = false
+	row.sequence = packet.Sequence
+	if row.asked == 0 && !repeated {
+		row.asked = now.UnixNano()
+		row.acknowledged = packet.Acknowledged
+	}
+	return repeated, answered
+}
+
+// acknowledge notes a packet without data, which may show that a request was
+// answered.
+func (a *attempts) acknowledge(hash uint64, l *load, acknowledged uint32) {
+	a.mutex.Lock()
+	if row := &a.rows[hash%attemptRows]; row.hash == hash && row.load == l {
+		row.advance(acknowledged)
+	}
+	a.mutex.Unlock()
+}
+
+// end notes that the caller ends the flow.
+func (a *attempts) end(hash uint64, l *load, acknowledged uint32) {
+	a.mutex.Lock()
+	if row := &a.rows[hash%attemptRows]; row.hash == hash && row.load == l {
+		row.advance(acknowledged)
+		row.fail()
+		*row = attempt{}
+	}
+	a.mutex.Unlock()
+}
+
+// advance counts the request as answered if the caller has got more since.
+func (r *attempt) advance(acknowledged uint32) {
+	if r.asked == 0 || int32(acknowledged-r.acknowledged) <= 0 {
+		return
+	}
+	if !r.overdue {
+		r.load.done.Add(1)
+	}
+	r.asked = 0
+	r.overdue = false
+}
+
+// fail counts the request as unanswered.
+func (r *attempt) fail() {
+	if r.asked != 0 && !r.overdue {
+		r.overdue = true
+		r.load.undone.Add(1)
+	}
+}
+
+// sweep counts the requests that wait for too long.
+func (a *attempts) sweep(now time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	suspended := !a.swept.IsZero() && now.Sub(a.swept) >= mostGap
+	a.swept = now
+	for i := range a.rows {
+		switch row := &a.rows[i]; {
+		case row.asked == 0:
+		case suspended:
+			row.asked = 0
+		case now.UnixNano()-row.asked >= int64(overdueAfter):
+			row.fail()
+		}
+	}
+}
--- a/core/zfcookie/load.go
+++ b/core/zfcookie/load.go
@@ -1,7 +1,6 @@
 package zfcookie
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -25,6 +24,13 @@
 	// retry is when a suspected backend server gets its next opening packet, in
 	// Unix nanoseconds.
 	retry atomic.Int64
+	// done and undone count requests that were answered and that were not, since
+	// they were last told.
+	done   atomic.Int64
+	undone atomic.Int64
+	// telling is how many further times the counts are told, though no request
+	// went unanswered. It belongs to the control goroutine.
+	telling int
 }
 
 const (
@@ -44,6 +50,9 @@
 	// lostTime is how long the first of them has to be over: an instance that was
 	// suspended finds packets and their repetitions at once, all of them answered.
 	lostTime = 150 * time.Millisecond
+	// toldAgain is how often the counts of a backend server are told after a
+	// request to it went unanswered: for some five seconds.
+	toldAgain = 10
 	// retryEvery is the pause between two opening packets to a suspected one.
 	retryEvery = time.Second
 )
@@ -53,6 +62,20 @@
 	l.settled.Store(int64(float64(l.settled.Load())*keepShare) + fresh*unit)
 }
 
+// outcome returns the counts since they were last told; ok is false where they
+// tell of no trouble.
+func (l *load) outcome() (done, undone int, ok bool) {
+	done, undone = int(l.done.Swap(0)), int(l.undone.Swap(0))
+	if undone > 0 {
+		l.telling = toldAgain
+	}
+	if l.telling == 0 {
+		return 0, 0, false
+	}
+	l.telling--
+	return done, undone, done+undone > 0
+}
+
 // recent returns the load in thousandths of a packet.
 func (l *load) recent() int64 {
 	return l.settled.Load() + (l.requests.Load()+l.openings.Load())*unit
@@ -99,63 +122,3 @@
 	retry := l.retry.Load()
 	return now.UnixNano() >= retry && l.retry.CompareAndSwap(retry, now.Add(retryEvery).UnixNano())
 }
-
-// attempts remembers the latest packets that ask for an answer, to see which of
-// them callers repeat. Its size is fixed: at 1,000 of them a second one is kept
-// for two seconds, longer than callers wait before they repeat it.
-type attempts struct {
-	mutex sync.Mutex
-	rows  [attemptRows]attempt
-}
-
-const attemptRows = 2048
-
-// attempt is the last packet of a flow that asked for an answer.
-type attempt struct {
-	hash uint64
-	// load is that of the backend server that got the packet.
-	load *load
-	// opening tells an opening packet from one with data, sequence is that of
-	// the latter.
-	opening  bool
-	sequence uint32
-}
-
-// open notes an opening packet.
-func (a *attempts) open(hash uint64, l *load) {
-	a.mutex.Lock()
-	a.rows[hash%attemptRows] = attempt{
-		hash:    hash,
-		load:    l,
-		opening: true,
-	}
-	a.mutex.Unlock()
-}
-
-// opened returns the load of the backend server that got the flow's last opening
-// packet and has not answered, or nil.
-func (a *attempts) opened(hash uint64) *load {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if row := &a.rows[hash%attemptRows]; row.hash == hash && row.opening {
-		return row.load
-	}
-	return nil
-}
-
-// send notes a packet with data. It reports whether the packet repeats the one
-// before, and whether it shows that an opening packet was answered.
-func (a *attempts) send(hash uint64, l *load, sequence uint32) (repeated, answered bool) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	row := &a.rows[hash%attemptRows]
-	same := row.hash == hash && row.load == l
-	repeated = same && !row.opening && row.sequence == sequence
-	answered = same && row.opening
-	*row = attempt{
-		hash:     hash,
-		load:     l,
-		sequence: sequence,
-	}
-	return repeated, answered
-}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -21,7 +21,7 @@
 	Seed uint64
 }
 
-// Mapper implements zinniafront.Mapper.
+// Mapper implements zinniafront.Mapper and zinniafront.Observer.
 type Mapper struct {
 	config   Config
 	current  atomic.Pointer[snapshot]
@@ -59,8 +59,7 @@
 
 // pool is the backend servers of a service that take new flows.
 type pool struct {
-	// tiers are tried one after the other: those of the own data centre, then
-	// those of the others, each with the suspected ones behind.
+	// tiers are tried one after the other.
 	tiers [tierCount][]*server
 }
 
@@ -68,6 +67,8 @@
 const (
 	tierLocal = iota
 	tierRemote
+	// tierSuspect is for backend servers that leave requests unanswered.
+	tierSuspect
 	// tierSilent is for backend servers that have not been heard lately; they
 	// are better than none.
 	tierSilent
@@ -110,6 +111,7 @@
 		for _, l := range m.loads {
 			l.decay()
 		}
+		m.attempts.sweep(now)
 	}
 	if view.Informed && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
@@ -191,6 +193,24 @@
 	return r
 }
 
+// Outcomes implements zinniafront.Observer.
+func (m *Mapper) Outcomes() []zf.Outcome {
+	var outcomes []zf.Outcome
+	for k, l := range m.loads {
+		done, undone, ok := l.outcome()
+		if !ok {
+			continue
+		}
+		outcomes = append(outcomes, zf.Outcome{
+			Server:     k.name,
+			Born:       time.UnixMilli(k.born),
+			Answered:   done,
+			Unanswered: undone,
+		})
+	}
+	return outcomes
+}
+
 // Receive implements zinniafront.Mapper.
 func (m *Mapper) Receive(zf.InstanceName, zf.Message, time.Time) {}
 
--- /dev/null
+++ b/core/zfcookie/outcome_test.go
@@ -0,0 +1,141 @@
+package zfcookie_test
+
+import (
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfcookie"
+	"zinniafront/lab/zfassert"
+)
+
+// answer returns the packet by which a caller acknowledges what it got.
+func answer(cookie zf.Cookie, acknowledged uint32) zf.Packet {
+	return zf.Packet{
+		Flow:         flow(1),
+		Cookie:       cookie,
+		Acknowledged: acknowledged,
+	}
+}
+
+// end returns the packet by which a caller gives a flow up.
+func end(kind zf.PacketKind, cookie zf.Cookie) zf.Packet {
+	return zf.Packet{
+		Kind:   kind,
+		Flow:   flow(1),
+		Cookie: cookie,
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	cookie := zfcookie.CookieOf("s1", start)
+	next := data(1, cookie, 2)
+	next.Acknowledged = 50
+	for _, c := range []struct {
+		name string
+		// packets go out at once, later ones after the pause.
+		packets []zf.Packet
+		pause   time.Duration
+		later   []zf.Packet
+		want    []zf.Outcome
+	}{
+		{
+			name:    "a request that is answered",
+			packets: []zf.Packet{data(1, cookie, 1), answer(cookie, 50)},
+			pause:   time.Second,
+		},
+		{
+			name:    "one that waits",
+			packets: []zf.Packet{data(1, cookie, 1)},
+			pause:   300 * time.Millisecond,
+		},
+		{
+			name:    "one that waits for long",
+			packets: []zf.Packet{data(1, cookie, 1)},
+			pause:   400 * time.Millisecond,
+			want:    unanswered(0, 1),
+		},
+		{
+			name:    "it counts once, also if its answer comes late",
+			packets: []zf.Packet{data(1, cookie, 1)},
+			pause:   400 * time.Millisecond,
+			later:   []zf.Packet{answer(cookie, 50)},
+			want:    unanswered(0, 1),
+		},
+		{
+			name:    "an acknowledgement of nothing new is no answer",
+			packets: []zf.Packet{data(1, cookie, 1), answer(cookie, 0)},
+			pause:   time.Second,
+			want:    unanswered(0, 1),
+		},
+		{
+			name:    "the next request shows that the one before was answered",
+			packets: []zf.Packet{data(1, cookie, 1), next},
+			pause:   time.Second,
+			want:    unanswered(1, 1),
+		},
+		{
+			name:    "a caller that gives up",
+			packets: []zf.Packet{data(1, cookie, 1), end(zf.PacketReset, cookie)},
+			want:    unanswered(0, 1),
+		},
+		{
+			name:    "a caller that closes while it waits",
+			packets: []zf.Packet{data(1, cookie, 1), end(zf.PacketClosing, cookie)},
+			want:    unanswered(0, 1),
+		},
+		{
+			name:    "a caller that closes after its answer",
+			packets: []zf.Packet{data(1, cookie, 1), answer(cookie, 50), end(zf.PacketClosing, cookie)},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := view(row(1, "orders", "one"))
+			mapper := newMapper(v)
+			for _, packet := range c.packets {
+				mapper.Route(packet, start)
+			}
+			tick(mapper, v, start, c.pause)
+			for _, packet := range c.later {
+				mapper.Route(packet, start.Add(c.pause))
+			}
+			zfassert.Equal(t, "outcomes", mapper.Outcomes(), c.want)
+		})
+	}
+	t.Run("an instance that was suspended counts nothing", func(t *testing.T) {
+		v := view(row(1, "orders", "one"))
+		mapper := newMapper(v)
+		mapper.Route(data(1, cookie, 1), start)
+		mapper.Tick(start.Add(5*time.Second), v)
+		zfassert.Equal(t, "outcomes", len(mapper.Outcomes()), 0)
+	})
+	t.Run("answers are told for a while after one was missing", func(t *testing.T) {
+		v := view(row(1, "orders", "one"))
+		mapper := newMapper(v)
+		mapper.Route(data(1, cookie, 1), start)
+		mapper.Route(end(zf.PacketReset, cookie), start)
+		told := 0
+		for n := range 30 {
+			mapper.Route(data(1, cookie, uint32(n+2)), start)
+			mapper.Route(answer(cookie, 50), start)
+			told += len(mapper.Outcomes())
+		}
+		zfassert.Equal(t, "times told", told, 10)
+	})
+}
+
+func unanswered(answered, count int) []zf.Outcome {
+	return []zf.Outcome{{
+		Server:     "s1",
+		Born:       time.UnixMilli(start.UnixMilli()),
+		Answered:   answered,
+		Unanswered: count,
+	}}
+}
+
+// tick runs a mapper's systems for a while.
+func tick(mapper *zfcookie.Mapper, v zf.View, from time.Time, d time.Duration) {
+	for after := time.Duration(0); after <= d; after += 100 * time.Millisecond {
+		mapper.Tick(from.Add(after), v)
+	}
+}
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -29,6 +29,8 @@
 	silent.State = zf.ServerSilent
 	silent.Weight = 0
 	remote := row(6, "orders", "two")
+	suspect := row(8, "orders", "one")
+	suspect.Suspect = true
 	for _, c := range []struct {
 		name    string
 		servers []zf.ServerView
@@ -54,6 +56,16 @@
 			servers: []zf.ServerView{out, draining, silent},
 			want:    []uint64{5},
 		},
+		{
+			name:    "a suspected one is worse than another data centre",
+			servers: []zf.ServerView{suspect, remote},
+			want:    []uint64{6},
+		},
+		{
+			name:    "but better than a silent one",
+			servers: []zf.ServerView{suspect, silent},
+			want:    []uint64{8},
+		},
 		{
 			name:    "one of another service gets nothing",
 			servers: []zf.ServerView{row(1, "orders", "one"), row(7, "proofs", "one")},
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -17,6 +17,8 @@
 	case s.State == zf.ServerSilent:
 		p.tiers[tierSilent] = append(p.tiers[tierSilent], s)
 	case s.Weight <= 0:
+	case s.Suspect:
+		p.tiers[tierSuspect] = append(p.tiers[tierSuspect], s)
 	case s.Centre == centre:
 		p.tiers[tierLocal] = append(p.tiers[tierLocal], s)
 	default:
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -46,6 +46,7 @@
 	server := s.cookies[packet.Cookie]
 	switch {
 	case packet.Kind == zf.PacketReset && server != nil:
+		m.attempts.end(zfflow.Hash(m.config.Seed, packet.Flow), server.load, packet.Acknowledged)
 		return forward(server)
 	case packet.Kind == zf.PacketReset:
 		return drop(zf.ReasonUnknownCookie)
@@ -67,12 +68,18 @@
 
 // observe notes what a packet of an open flow tells of its backend server.
 func (m *Mapper) observe(s *server, packet zf.Packet, now time.Time) {
-	if packet.Data == 0 {
+	hash := zfflow.Hash(m.config.Seed, packet.Flow)
+	switch {
+	case packet.Kind == zf.PacketClosing:
+		m.attempts.end(hash, s.load, packet.Acknowledged)
+		return
+	case packet.Data == 0:
 		s.load.answered() // A caller acknowledges only what it got.
+		m.attempts.acknowledge(hash, s.load, packet.Acknowledged)
 		return
 	}
 	s.load.requests.Add(1)
-	repeated, answered := m.attempts.send(zfflow.Hash(m.config.Seed, packet.Flow), s.load, packet.Sequence)
+	repeated, answered := m.attempts.send(hash, s.load, packet, now)
 	switch {
 	case repeated:
 		s.load.missed(now)
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -18,6 +18,7 @@
 	Self     zf.InstanceName
 	Centre   zf.CentreName
 	Mapper   zf.Mapper
+	Observer zf.Observer
 	Registry zfregistry.Config
 }
 
@@ -102,6 +103,10 @@
 // Registry returns the table of backend servers.
 func (w *World) Registry() *zfregistry.Table { return w.registry }
 
+// Outcomes returns what became of requests to backend servers that left some
+// unanswered lately.
+func (w *World) Outcomes() []zf.Outcome { return w.config.Observer.Outcomes() }
+
 // Mapper returns the mapper, whose Route is for the traffic goroutines.
 func (w *World) Mapper() zf.Mapper { return w.config.Mapper }
 
--- a/core/zfforward/world_test.go
+++ b/core/zfforward/world_test.go
@@ -19,12 +19,14 @@
 )
 
 func newWorld() *zfforward.World {
+	mapper := zfcookie.New(zfcookie.Config{
+		Seed: 1,
+	})
 	return zfforward.New(zfforward.Config{
-		Self:   "e1",
-		Centre: "one",
-		Mapper: zfcookie.New(zfcookie.Config{
-			Seed: 1,
-		}),
+		Self:     "e1",
+		Centre:   "one",
+		Mapper:   mapper,
+		Observer: mapper,
 		Registry: zfregistry.DefaultConfig(1, time.Second),
 	})
 }
--- a/core/zfkeeper/world.go
+++ b/core/zfkeeper/world.go
@@ -13,6 +13,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfcontrol"
+	"zinniafront/core/zfoutlier"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
 )
@@ -25,6 +26,7 @@
 type Config struct {
 	Quorum   zfquorum.Config
 	Registry zfregistry.Config
+	Outlier  zfoutlier.Config
 	// Decode returns the bundle of a document in the control state.
 	Decode func(document []byte) (*zfbundle.Bundle, error)
 }
@@ -36,6 +38,9 @@
 	// freshContact is how old the last contact with a majority may be for
 	// silence of backend servers to mean something.
 	freshContact = 1200 * time.Millisecond
+	// judgeEvery is the time between two judgements of backend servers; entry
+	// instances tell outcomes each half second.
+	judgeEvery = 200 * time.Millisecond
 )
 
 // ID identifies a command or a read.
@@ -79,6 +84,9 @@
 	config   Config
 	replica  *zfquorum.Replica
 	registry *zfregistry.Table
+	outliers *zfoutlier.Table
+	judged   time.Time
+	verdicts []zfoutlier.Verdict
 	machine  *zfcontrol.Machine
 	// machineOf is the term of the leadership that machine belongs to.
 	machineOf uint64
@@ -94,6 +102,7 @@
 		config:   config,
 		replica:  zfquorum.New(config.Quorum, now),
 		registry: zfregistry.New(config.Registry),
+		outliers: zfoutlier.New(config.Outlier),
 	}
 }
 
@@ -136,9 +145,43 @@
 	w.replica.Tick(now)
 	w.watch(now)
 	w.registry.Tick(now, w.hearing)
+	w.judge(now)
 	w.serve(now)
 }
 
+// Note takes what an entry instance has seen of backend servers.
+func (w *World) Note(outcomes []zf.Outcome, now time.Time) { w.outliers.Note(outcomes, now) }
+
+// judge finds the backend servers that should get no new flows for a while.
+func (w *World) judge(now time.Time) {
+	if !w.outliers.Busy() || now.Sub(w.judged) < judgeEvery {
+		return
+	}
+	w.judged = now
+	servers := make([]zfoutlier.Server, 0, w.registry.Size())
+	for _, row := range w.registry.Rows() {
+		if row.Status != zf.ServerWarm && row.Status != zf.ServerCold {
+			continue
+		}
+		servers = append(servers, zfoutlier.Server{
+			Name:    row.Server,
+			Born:    row.Born,
+			Service: row.Service,
+		})
+	}
+	for _, verdict := range w.outliers.Tick(servers, now) {
+		w.registry.Suspect(verdict.Server, verdict.Born, now.Add(verdict.For))
+		w.verdicts = append(w.verdicts, verdict)
+	}
+}
+
+// TakeVerdicts returns the backend servers that were found to be outliers.
+func (w *World) TakeVerdicts() []zfoutlier.Verdict {
+	verdicts := w.verdicts
+	w.verdicts = nil
+	return verdicts
+}
+
 // watch notes whether this instance is in touch with a majority.
 func (w *World) watch(now time.Time) {
 	switch fresh := now.Sub(w.replica.Contact(now)) < freshContact; {
--- /dev/null
+++ b/core/zfoutlier/table_test.go
@@ -0,0 +1,150 @@
+package zfoutlier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfoutlier"
+	"zinniafront/lab/zfassert"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func name(n int) zf.ServerName { return zf.ServerName(fmt.Sprintf("s%02d", n)) }
+
+// service returns a service of so many backend servers.
+func service(size int) []zfoutlier.Server {
+	servers := make([]zfoutlier.Server, 0, size)
+	for n := range size {
+		servers = append(servers, zfoutlier.Server{
+			Name:    name(n),
+			Born:    start,
+			Service: "orders",
+		})
+	}
+	return servers
+}
+
+func outcome(n, answered, unanswered int) zf.Outcome {
+	return zf.Outcome{
+		Server:     name(n),
+		Born:       start,
+		Answered:   answered,
+		Unanswered: unanswered,
+	}
+}
+
+func names(verdicts []zfoutlier.Verdict) []zf.ServerName {
+	found := make([]zf.ServerName, 0, len(verdicts))
+	for _, verdict := range verdicts {
+		found = append(found, verdict.Server)
+	}
+	return found
+}
+
+func TestJudgement(t *testing.T) {
+	overload := make([]zf.Outcome, 0, 12)
+	for n := range 12 {
+		overload = append(overload, outcome(n, 20, 8+n%3))
+	}
+	for _, c := range []struct {
+		name     string
+		size     int
+		outcomes []zf.Outcome
+		want     []zf.ServerName
+	}{
+		{
+			name:     "one that answers four in ten is an outlier",
+			size:     12,
+			outcomes: []zf.Outcome{outcome(3, 6, 4)},
+			want:     []zf.ServerName{name(3)},
+		},
+		{
+			name:     "two requests tell nothing",
+			size:     12,
+			outcomes: []zf.Outcome{outcome(3, 0, 2)},
+			want:     []zf.ServerName{},
+		},
+		{
+			name:     "a few among many tell nothing",
+			size:     12,
+			outcomes: []zf.Outcome{outcome(3, 60, 5)},
+			want:     []zf.ServerName{},
+		},
+		{
+			name:     "in an overload nobody is an outlier",
+			size:     12,
+			outcomes: overload,
+			want:     []zf.ServerName{},
+		},
+		{
+			name:     "a fifth of a service are outliers together",
+			size:     20,
+			outcomes: []zf.Outcome{outcome(1, 6, 4), outcome(2, 6, 4), outcome(3, 6, 4), outcome(4, 6, 4)},
+			want:     []zf.ServerName{name(1), name(2), name(3), name(4)},
+		},
+		{
+			name:     "a quarter at most, the worst ones first",
+			size:     8,
+			outcomes: []zf.Outcome{outcome(1, 6, 4), outcome(2, 1, 9), outcome(3, 2, 8)},
+			want:     []zf.ServerName{name(2), name(3)},
+		},
+		{
+			name:     "the only one of a service never is",
+			size:     1,
+			outcomes: []zf.Outcome{outcome(0, 0, 20)},
+			want:     []zf.ServerName{},
+		},
+		{
+			name:     "one that takes no flows is not judged",
+			size:     3,
+			outcomes: []zf.Outcome{outcome(7, 0, 20)},
+			want:     []zf.ServerName{},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := zfoutlier.New(zfoutlier.DefaultConfig())
+			table.Note(c.outcomes, start)
+			zfassert.Equal(t, "outliers", names(table.Tick(service(c.size), start)), c.want)
+		})
+	}
+}
+
+func TestProbation(t *testing.T) {
+	config := zfoutlier.DefaultConfig()
+	table := zfoutlier.New(config)
+	table.Note([]zf.Outcome{outcome(3, 2, 8)}, start)
+	judge := func(after time.Duration) int { return len(table.Tick(service(12), start.Add(after))) }
+	t.Run("it is told once", func(t *testing.T) {
+		zfassert.Equal(t, "verdicts", judge(0), 1)
+		zfassert.Equal(t, "verdicts", judge(time.Second), 0)
+	})
+	t.Run("it goes on as long as the counts tell", func(t *testing.T) {
+		zfassert.Equal(t, "verdicts", judge(config.Probation), 1)
+	})
+	t.Run("it ends without further unanswered requests", func(t *testing.T) {
+		zfassert.Equal(t, "verdicts", judge(3*config.Probation), 0)
+	})
+	t.Run("all is forgotten in the end", func(t *testing.T) {
+		judge(time.Minute)
+		zfassert.True(t, "nothing to judge", !table.Busy())
+	})
+}
+
+// TestLoss has well backend servers lose one request in two hundred.
+func TestLoss(t *testing.T) {
+	table := zfoutlier.New(zfoutlier.DefaultConfig())
+	verdicts := 0
+	for second := range 600 {
+		now := start.Add(time.Duration(second) * time.Second)
+		for n := range 14 {
+			if (second*14+n)%10 == 0 {
+				table.Note([]zf.Outcome{outcome(n, 20, 1)}, now)
+			}
+		}
+		verdicts += len(table.Tick(service(14), now))
+	}
+	zfassert.Equal(t, "verdicts", verdicts, 0)
+}
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -19,6 +19,10 @@
 			row.Status = zf.ServerWarm
 			t.changed(row)
 		}
+		if !row.SuspectUntil.IsZero() && !now.Before(row.SuspectUntil) {
+			row.SuspectUntil = time.Time{}
+			t.changed(row)
+		}
 		if !t.config.Follower && !hearing.IsZero() {
 			t.expire(row, now, hearing)
 		}
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -16,6 +16,8 @@
 	Age time.Duration
 	// Heard tells that heartbeats come to the sender itself.
 	Heard bool
+	// Suspect is how long the backend server should get no new flows yet.
+	Suspect time.Duration
 }
 
 // Beat tells that heartbeats of a backend server come to the sender now, and
@@ -76,6 +78,7 @@
 		Heard:        r.hearer == t.config.Self && !t.config.Follower,
 	}
 	u.Cold = max(r.ColdUntil.Sub(now), 0)
+	u.Suspect = max(r.SuspectUntil.Sub(now), 0)
 	return u
 }
 
@@ -131,6 +134,9 @@
 	case u.Sequence == row.Sequence:
 		t.adopt(row, u, from, now)
 	}
+	if u.Suspect > 0 {
+		t.Suspect(u.Server, u.Born, now.Add(u.Suspect))
+	}
 }
 
 // adopt takes the word of a sender that hears the backend server on its silence;
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -53,6 +53,9 @@
 	// coldSlack is the difference between two reports of the end of a cold
 	// start that is not worth telling others.
 	coldSlack = 400 * time.Millisecond
+	// suspectSlack is the time by which a suspicion must be longer to be news; it
+	// covers the way between instances.
+	suspectSlack = time.Second
 )
 
 // DefaultConfig returns the constants of a process for backend servers that send
@@ -101,6 +104,9 @@
 	Proven bool
 	// Late tells that heartbeats are overdue that could have come.
 	Late bool
+	// SuspectUntil is until when the backend server should get no new flows, as it
+	// leaves requests unanswered.
+	SuspectUntil time.Time
 	// since is when Status became ServerGone.
 	since time.Time
 	// news is the revision of the last change, beat that of the last time that
@@ -287,6 +293,17 @@
 	return r.Address != a.Address || r.Service != a.Service || r.Centre != a.Centre || r.Capacity != a.Capacity
 }
 
+// Suspect notes that a backend server leaves requests unanswered, and should get
+// no new flows until a time.
+func (t *Table) Suspect(name zf.ServerName, born, until time.Time) {
+	row := t.rows[keyOf(name, born)]
+	if row == nil || row.Status == zf.ServerGone || !until.After(row.SuspectUntil.Add(suspectSlack)) {
+		return
+	}
+	row.SuspectUntil = until
+	t.changed(row)
+}
+
 // Leave takes the word of a backend server that it ends. A zero born stands
 // for its latest life.
 func (t *Table) Leave(name zf.ServerName, born, now time.Time) zf.Reason {
--- a/core/zfregistry/table_test.go
+++ b/core/zfregistry/table_test.go
@@ -371,3 +371,32 @@
 		zfassert.Equal(t, "changes", len(here.Since(cursor, false, later).Updates), 0)
 	})
 }
+
+func TestSuspicion(t *testing.T) {
+	here, there := newTable(), newTableOf(other)
+	here.Announce(beat("a", born, 1), start)
+	until := start.Add(3 * time.Second)
+	here.Suspect("a", born, until)
+	there.Merge(here.Since(0, true, start), start)
+	t.Run("it is told", func(t *testing.T) {
+		zfassert.True(t, "suspect", there.View(nil)[0].Suspect)
+	})
+	t.Run("tables that tell each other of it come to rest", func(t *testing.T) {
+		before := here.News()
+		here.Merge(there.Since(0, true, start.Add(time.Millisecond)), start.Add(2*time.Millisecond))
+		zfassert.Equal(t, "news", here.News(), before)
+	})
+	t.Run("heartbeats don't end it", func(t *testing.T) {
+		here.Announce(beat("a", born, 2), start.Add(time.Second))
+		zfassert.True(t, "suspect", here.View(nil)[0].Suspect)
+	})
+	t.Run("it ends by itself", func(t *testing.T) {
+		there.Tick(until, time.Time{})
+		zfassert.True(t, "not suspect", !there.View(nil)[0].Suspect)
+	})
+	t.Run("one that is not known is not suspected", func(t *testing.T) {
+		before := here.News()
+		here.Suspect("b", born, until)
+		zfassert.Equal(t, "news", here.News(), before)
+	})
+}
--- a/core/zfregistry/view.go
+++ b/core/zfregistry/view.go
@@ -39,6 +39,7 @@
 			Number:  row.Number,
 			Proven:  row.Proven,
 			Late:    row.Late,
+			Suspect: !row.SuspectUntil.IsZero(),
 		})
 	}
 	return view
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -39,12 +39,14 @@
 }
 
 func newForwardLoop(settings *zfdocument.Settings, bundles bundles, source source, f *zfcmd.Factory, logger *zfevent.Logger) *zfforwardloop.Loop {
+	mapper := zfcookie.New(zfcookie.Config{
+		Seed: flowSeed,
+	})
 	world := zfforward.New(zfforward.Config{
-		Self:   settings.Name,
-		Centre: settings.Centre,
-		Mapper: zfcookie.New(zfcookie.Config{
-			Seed: flowSeed,
-		}),
+		Self:     settings.Name,
+		Centre:   settings.Centre,
+		Mapper:   mapper,
+		Observer: mapper,
 		Registry: zfregistry.DefaultConfig(zfregistry.Source(source), settings.Platform.Interval),
 	})
 	return zfforwardloop.New(zfforwardloop.Config{
--- a/io/command/zfservecmd/keeper.go
+++ b/io/command/zfservecmd/keeper.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"zinniafront/core/zfkeeper"
+	"zinniafront/core/zfoutlier"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
 	"zinniafront/io/command/zfcmd"
@@ -78,6 +79,7 @@
 			Voters: 2*p.Settings.Platform.Losses + 1,
 		},
 		Registry: zfregistry.DefaultConfig(zfregistry.Source(p.Source), p.Settings.Platform.Interval),
+		Outlier:  zfoutlier.DefaultConfig(),
 		Decode:   p.Bundles.decode,
 	}, p.Factory.Clock.Now())
 	loop := zfkeeperloop.New(zfkeeperloop.Config{
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -149,6 +149,7 @@
 		}
 	}
 	args.Rows = nil
+	args.Outcomes = nil
 	f.waiters = append(f.waiters, waiter{
 		args:  args,
 		from:  now.Add(newsEvery),
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -46,13 +46,22 @@
 	Logger *zfevent.Logger
 	// Time gets how long each fetch took.
 	Time metrics.Timer
-	// Known returns the index of the control state in force here, and digests of
-	// the backend servers known here if first is set.
-	Known func(first bool) (uint64, []uint64)
+	// Known returns what a fetch tells, the first one of a session if first is set.
+	Known func(first bool) Known
 	// Take takes news. It returns the backend servers that the sender lacks.
 	Take func(reply FetchReply) []zfregistry.Update
 }
 
+// Known is what an instance tells with a fetch.
+type Known struct {
+	// Index is that of the control state in force.
+	Index uint64
+	// Digests are those of the backend servers, for the first fetch of a session.
+	Digests []uint64
+	// Outcomes are what became of requests. They are lost if the fetch fails.
+	Outcomes []zf.Outcome
+}
+
 // Follower has one control instance tell the news, and turns to another when
 // that one doesn't answer or has lost touch with the others. Where it reaches
 // none, it turns to other entry instances.
@@ -181,7 +190,7 @@
 
 // fetch asks for news once and hands it on.
 func (f *Follower) fetch() {
-	index, digests := f.config.Known(f.source == 0)
+	known := f.config.Known(f.source == 0)
 	hold := fetchHold
 	switch {
 	case f.source == 0:
@@ -196,8 +205,9 @@
 		Address:  f.config.Address,
 		Source:   f.source,
 		Cursor:   f.cursor,
-		Index:    max(index, f.told),
-		Digests:  digests,
+		Index:    max(known.Index, f.told),
+		Digests:  known.Digests,
+		Outcomes: known.Outcomes,
 		Rows:     f.owed,
 		Hold:     hold,
 	}, hold+fetchMargin)
--- a/io/zfcluster/follower_test.go
+++ b/io/zfcluster/follower_test.go
@@ -101,7 +101,7 @@
 			Level:  "error",
 		}),
 		Time:  metrics.NilTimer{},
-		Known: func(bool) (uint64, []uint64) { return 0, nil },
+		Known: func(bool) zfcluster.Known { return zfcluster.Known{} },
 		Take: func(reply zfcluster.FetchReply) []zfregistry.Update {
 			select {
 			case sources <- reply.Source:
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -72,6 +72,9 @@
 	// Rows are the backend servers that the answering instance lacks, as its last
 	// answer showed.
 	Rows []zfregistry.Update
+	// Outcomes are what became of requests to backend servers that left some
+	// unanswered lately.
+	Outcomes []zf.Outcome
 	// Hold is how long the answer may be held back while there is no news.
 	Hold time.Duration
 }
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -56,6 +56,7 @@
 	ServersLoaded  = add(3014, "backend servers loaded", log.InfoLevel)
 	// ServersSaveFail costs time after the next power loss only.
 	ServersSaveFail = add(3015, "backend servers not saved", log.WarnLevel)
+	ServerSuspected = add(3016, "backend server leaves requests unanswered", log.WarnLevel)
 )
 
 // The events of flows.
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -47,9 +47,9 @@
 	informed atomic.Int64
 	// bundle belongs to the goroutine that calls Take.
 	bundle *decoded
-	// states and seen are what was logged last of the backend servers.
-	states map[zf.ServerID]zf.ServerState
-	seen   uint64
+	// shown and seen are what was logged last of the backend servers.
+	shown map[zf.ServerID]shown
+	seen  uint64
 }
 
 // decoded is the last document that was read, kept since a document comes again
@@ -59,13 +59,19 @@
 	bundle   *zfbundle.Bundle
 }
 
+// shown is what is logged of a backend server when it changes.
+type shown struct {
+	status  zf.ServerState
+	suspect bool
+}
+
 // New returns a loop that has not started.
 func New(config Config) *Loop {
 	l := &Loop{
 		config: config,
 		inbox:  make(chan func(now time.Time), inboxEvents),
 		done:   make(chan struct{}),
-		states: make(map[zf.ServerID]zf.ServerState),
+		shown:  make(map[zf.ServerID]shown),
 	}
 	l.feed = zfcluster.NewFeed(zfcluster.FeedConfig{
 		ID:     config.Source,
@@ -138,14 +144,18 @@
 	l.put(func(time.Time) { l.config.World.Stop() })
 }
 
-// Known returns the index of the control state in force here, and digests of the
-// backend servers known here if first is set.
-func (l *Loop) Known(first bool) (uint64, []uint64) {
-	var digests []uint64
-	if first {
-		l.do(func(time.Time) { digests = l.config.World.Registry().Digests() })
+// Known returns what a fetch tells, the first one of a session if first is set.
+func (l *Loop) Known(first bool) zfcluster.Known {
+	known := zfcluster.Known{
+		Index: l.index.Load(),
 	}
-	return l.index.Load(), digests
+	l.do(func(time.Time) {
+		known.Outcomes = l.config.World.Outcomes()
+		if first {
+			known.Digests = l.config.World.Registry().Digests()
+		}
+	})
+	return known
 }
 
 // Take takes news of a control instance. It returns the backend servers that the
@@ -227,12 +237,16 @@
 	}
 	l.seen = world.Registry().News()
 	for _, row := range world.Registry().Rows() {
-		if before, ok := l.states[row.ID]; ok && before == row.Status {
+		now := shown{
+			status:  row.Status,
+			suspect: !row.SuspectUntil.IsZero(),
+		}
+		if before, ok := l.shown[row.ID]; ok && before == now {
 			continue
 		}
-		l.states[row.ID] = row.Status
+		l.shown[row.ID] = now
 		l.config.Logger.Entry(zfevent.ServerShown).Str("server", string(row.Server)).Time("born", row.Born).
-			Str("state", row.Status.String()).Bool("proven", row.Proven).Str("address", row.Address.String()).
+			Str("state", row.Status.String()).Bool("proven", row.Proven).Bool("suspect", now.suspect).Str("address", row.Address.String()).
 			Str("centre", string(row.Centre)).Uint64("sequence", row.Sequence).Msg("")
 	}
 }
--- a/io/zfkeeperloop/feed.go
+++ b/io/zfkeeperloop/feed.go
@@ -52,6 +52,7 @@
 		l.config.World.Registry().Merge(zfregistry.Changes{
 			Updates: args.Rows,
 		}, now)
+		l.config.World.Note(args.Outcomes, now)
 		l.feed.Add(args, reply, now)
 	}) {
 		return zfcluster.FetchReply{}, ErrStopped
--- a/io/zfkeeperloop/loop.go
+++ b/io/zfkeeperloop/loop.go
@@ -138,6 +138,7 @@
 	l.answer()
 	l.feed.Wake(now)
 	l.watch()
+	l.report()
 }
 
 // put waits for room in the inbox; it reports false if the loop has ended.
--- a/io/zfkeeperloop/watch.go
+++ b/io/zfkeeperloop/watch.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// report logs the backend servers that were found to leave requests unanswered.
+func (l *Loop) report() {
+	for _, verdict := range l.config.World.TakeVerdicts() {
+		l.config.Logger.Entry(zfevent.ServerSuspected).Str("server", string(verdict.Server)).
+			Time("born", verdict.Born).Float64("answered", verdict.Answered).
+			Float64("unanswered", verdict.Unanswered).Dur("for", verdict.For).Msg("")
+	}
+}
+
 // client returns the client of another control instance.
 func (l *Loop) client(address netip.AddrPort) *zfcluster.Client {
 	l.mutex.Lock()
--- a/ports.go
+++ b/ports.go
@@ -43,6 +43,14 @@
 	Stats() MapperStats
 }
 
+// Observer tells what the packets of callers show of backend servers.
+type Observer interface {
+	// Outcomes returns what became of requests since the last call, for the
+	// backend servers that left some unanswered lately. It is called by the
+	// control goroutine.
+	Outcomes() []Outcome
+}
+
 // Framing turns the datagrams of a fabric into packets and back. It is used by
 // one goroutine.
 type Framing interface {
--- a/value.go
+++ b/value.go
@@ -190,6 +190,16 @@
 	Number uint64
 }
 
+// Outcome counts what became of requests to one life of a backend server.
+type Outcome struct {
+	Server ServerName
+	Born   time.Time
+	// Answered had an answer in time. Unanswered had none when the caller gave up,
+	// or for so long that it soon will.
+	Answered   int
+	Unanswered int
+}
+
 // Candidate is one backend server that may take a request.
 type Candidate struct {
 	Server ServerID
@@ -236,6 +246,8 @@
 	Proven bool
 	// Late tells that heartbeats are overdue that could have come.
 	Late bool
+	// Suspect tells that lately too many requests to the server got no answer.
+	Suspect bool
 	// OpeningRate bounds the new flows a second that this instance may send to
 	// the server while it is cold; 0 is no bound.
 	OpeningRate float64
