Tables of backend servers travel in pages

Change: 500 rows an answer; a session begins with the last page, and an instance judges packets and is ready only then. Control instances begin sessions with digests too, and tell with the last page which heartbeats come to them. TestDigests (pages), TestFollower (last page) and TestReady (a part of the backend servers) failed before.

--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -82,6 +82,8 @@
 	servers uint64
 	index   uint64
 	entries int
+	// informed is World.informed.
+	informed bool
 	// returning is the number of data centres brought back lately.
 	returning int
 }
@@ -127,7 +129,7 @@
 	if changed {
 		w.enforce(*news.State, now)
 	}
-	w.informed = true
+	w.informed = w.informed || !news.Changes.More
 	w.publish(now)
 	return changed
 }
@@ -175,11 +177,12 @@
 		servers:   w.registry.News(),
 		index:     w.state.Index,
 		entries:   w.entries,
+		informed:  w.informed,
 		returning: w.returning(now),
 	}
 	if w.view.Revision == 0 || seen != w.seen {
 		w.seen = seen
-		w.view.Informed = w.state.Bundle != nil
+		w.view.Informed = w.informed && w.state.Bundle != nil
 		w.view.Routes = w.routes
 		w.view.Servers = w.limit(w.registry.View(w.state.Out), now)
 		w.view.Revision++
--- a/core/zfforward/world_test.go
+++ b/core/zfforward/world_test.go
@@ -86,6 +86,22 @@
 		zfassert.True(t, "not ready", !world.Ready())
 		assertOpening(t, world, zf.ActionDrop)
 	})
+	t.Run("not with a part of the backend servers", func(t *testing.T) {
+		partial := newWorld()
+		partial.Learn(zfforward.News{
+			Changes: zfregistry.Changes{
+				More: true,
+			},
+			State: state(1, "orders"),
+		}, start)
+		zfassert.True(t, "not ready", !partial.Ready())
+		assertOpening(t, partial, zf.ActionDrop)
+		partial.Learn(zfforward.News{
+			Changes: servers("one"),
+		}, start)
+		zfassert.True(t, "ready", partial.Ready())
+		assertOpening(t, partial, zf.ActionForward)
+	})
 	t.Run("not with backend servers alone", func(t *testing.T) {
 		world.Learn(zfforward.News{
 			Changes: servers("one"),
--- a/core/zfregistry/digest.go
+++ b/core/zfregistry/digest.go
@@ -54,32 +54,58 @@
 	return 0
 }
 
-// Differing returns the rows in all buckets for which another table has other
-// digests.
-func (t *Table) Differing(digests []uint64, now time.Time) Changes {
+// buckets tells for each bucket whether it is in a set.
+type buckets [bucketCount]bool
+
+// Differing returns the rows in the buckets from first on for which another table
+// has other digests, up to a page. With the last page come the heartbeats of other
+// rows that are heard here, if beats is set.
+func (t *Table) Differing(digests []uint64, first int, beats bool, now time.Time) Changes {
 	changes := Changes{
 		From:   t.config.Self,
 		Cursor: t.revision,
 	}
-	if len(digests) != bucketCount {
-		return t.Since(0, false, now) // Of another version: all rows.
+	told := t.page(digests, first, &changes)
+	for place := t.recent.Front(); place != nil; place = place.Next() {
+		switch row := place.Value.(*Row); {
+		case told[bucketOf(row.Server)]:
+			changes.Updates = append(changes.Updates, t.update(row, now))
+		case beats && !changes.More && row.hearer == t.config.Self:
+			changes.Beats = append(changes.Beats, t.beat(row, now))
+		}
 	}
-	var differs [bucketCount]bool
-	for bucket, digest := range t.Digests() {
-		if digest != digests[bucket] {
-			differs[bucket] = true
-			changes.Buckets = append(changes.Buckets, bucket)
+	return changes
+}
+
+// page returns the buckets to tell. It notes them in changes, with the bucket at
+// which the next page begins.
+func (t *Table) page(digests []uint64, first int, changes *Changes) buckets {
+	var told buckets
+	if len(digests) != bucketCount { // Of another version: all rows at once.
+		for bucket := range told {
+			told[bucket] = true
 		}
+		return told
 	}
-	if len(changes.Buckets) == 0 {
-		return changes
+	var sizes [bucketCount]int
+	for _, row := range t.rows {
+		sizes[bucketOf(row.Server)]++
 	}
-	for place := t.recent.Back(); place != nil; place = place.Prev() {
-		if row := place.Value.(*Row); differs[bucketOf(row.Server)] {
-			changes.Updates = append(changes.Updates, t.update(row, now))
+	rows := 0
+	for bucket, digest := range t.Digests() {
+		if bucket < first || digest == digests[bucket] {
+			continue
+		}
+		if rows >= pageRows {
+			changes.More = true
+			changes.Next = bucket
+			break
 		}
+		rows += sizes[bucket]
+		told[bucket] = true
+		changes.Buckets = append(changes.Buckets, bucket)
 	}
-	return changes
+	return told
 }
 
 // Lacking returns the rows that the sender of differing rows doesn't have, or
@@ -88,7 +114,7 @@
 	if len(changes.Buckets) == 0 {
 		return nil
 	}
-	var differs [bucketCount]bool
+	var differs buckets
 	for _, bucket := range changes.Buckets {
 		if bucket >= 0 && bucket < bucketCount {
 			differs[bucket] = true
--- a/core/zfregistry/digest_test.go
+++ b/core/zfregistry/digest_test.go
@@ -20,6 +20,28 @@
 	}
 }
 
+// follow has a table take all changes of another one.
+func follow(table, source *zfregistry.Table) {
+	for cursor, more := uint64(0), true; more; {
+		changes := source.Since(cursor, true, start)
+		table.Merge(changes, start)
+		cursor, more = changes.Cursor, changes.More
+	}
+}
+
+// compare has a table take the rows of another one that differ. It returns how
+// many there were, and those that the other one lacks.
+func compare(table, source *zfregistry.Table) (told, pages int, owed []zfregistry.Update) {
+	for first, more := 0, true; more; pages++ {
+		changes := source.Differing(table.Digests(), first, true, start)
+		table.Merge(changes, start)
+		owed = append(owed, table.Lacking(changes, start)...)
+		told += len(changes.Updates)
+		first, more = changes.Next, changes.More
+	}
+	return told, pages, owed
+}
+
 // assertSame fails the test unless two tables hold the same.
 func assertSame(t testing.TB, one, two *zfregistry.Table) {
 	t.Helper()
@@ -78,29 +100,57 @@
 		t.Run(c.name, func(t *testing.T) {
 			here, there := newTable(), newTableOf(other)
 			fill(here, count)
-			there.Merge(here.Since(0, true, start), start)
+			follow(there, here)
 			c.change(here, there)
-			changes := here.Differing(there.Digests(), start)
-			there.Merge(changes, start)
-			owed := there.Lacking(changes, start)
+			told, _, owed := compare(there, here)
 			here.Merge(zfregistry.Changes{
 				Updates: owed,
 			}, start)
-			zfassert.AtMost(t, "rows told", float64(len(changes.Updates)), float64(c.told))
+			zfassert.AtMost(t, "rows told", float64(told), float64(c.told))
 			zfassert.AtMost(t, "rows owed", float64(len(owed)), float64(c.owed))
 			assertSame(t, here, there)
 		})
 	}
-	t.Run("an empty table gets all", func(t *testing.T) {
+	t.Run("an empty table gets all, page by page", func(t *testing.T) {
+		here, there := newTable(), newTableOf(other)
+		fill(here, count)
+		told, pages, _ := compare(there, here)
+		zfassert.Equal(t, "rows told", told, count)
+		zfassert.Equal(t, "pages", pages, 4)
+		assertSame(t, here, there)
+	})
+	t.Run("rows that the other one never takes are told once", func(t *testing.T) {
+		here := newTable()
+		fill(here, count)
+		config := zfregistry.DefaultConfig(other, interval)
+		config.Most = 1
+		told, _, _ := compare(zfregistry.New(config), here)
+		zfassert.Equal(t, "rows told", told, count)
+	})
+	t.Run("changes come page by page too", func(t *testing.T) {
 		here, there := newTable(), newTableOf(other)
 		fill(here, count)
-		there.Merge(here.Differing(there.Digests(), start), start)
-		zfassert.Equal(t, "rows", there.Size(), count)
+		zfassert.Equal(t, "rows of the first page", len(here.Since(0, false, start).Updates), 500)
+		follow(there, here)
+		assertSame(t, here, there)
 	})
 	t.Run("digests of another size get all", func(t *testing.T) {
 		here := newTable()
 		fill(here, count)
-		zfassert.Equal(t, "rows", len(here.Differing([]uint64{1, 2}, start).Updates), count)
+		changes := here.Differing([]uint64{1, 2}, 0, true, start)
+		zfassert.Equal(t, "rows", len(changes.Updates), count)
+		zfassert.True(t, "no further page", !changes.More)
+	})
+	t.Run("a session tells which heartbeats come to the source", func(t *testing.T) {
+		here, there := newTable(), newTableOf(other)
+		fill(here, 10)
+		follow(there, here)
+		moved := there.Find("s3").Announcement
+		moved.Sequence = 7
+		there.Announce(moved, start)
+		changes := there.Differing(here.Digests(), 0, true, start)
+		zfassert.Equal(t, "rows", len(changes.Updates), 0)
+		zfassert.Equal(t, "heartbeats", len(changes.Beats), 1)
 	})
 	t.Run("one that was found silent is no difference to who never knew it", func(t *testing.T) {
 		here := newTable()
@@ -115,14 +165,14 @@
 	fill(table, 9100)
 	b.ReportAllocs()
 	for b.Loop() {
-		table.Differing(table.Digests(), start)
+		table.Differing(table.Digests(), 0, true, start)
 	}
 }
 
 func BenchmarkSince(b *testing.B) {
 	table := newTable()
 	fill(table, 9100)
-	cursor := table.Since(0, false, start).Cursor
+	cursor := table.Differing(table.Digests(), 0, false, start).Cursor
 	table.Leave("s7", born, start)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -36,38 +36,72 @@
 	Updates []Update
 	Beats   []Beat
 	// Buckets are those of which Updates holds all rows, at the start of a session.
+	// Next is the one at which the next page begins.
 	Buckets []int
-	// Cursor is what to ask with for the changes that follow.
+	Next    int
+	// Cursor is what to ask with for the changes that follow; More tells that there
+	// are some already.
 	Cursor uint64
+	More   bool
 }
 
-// Since returns the rows that changed after cursor, all of them for cursor 0, the
-// latest change first. Heartbeats that only come to another instance than before
-// are left out unless beats is set.
+// pageRows is the number of rows told at once: some 60 KB, a seventh of a second
+// on the slowest links. More would hold up the traffic and outlast timeouts.
+const pageRows = 500
+
+// All returns all rows.
+func (t *Table) All(now time.Time) []Update {
+	updates := make([]Update, 0, len(t.rows))
+	for place := t.recent.Front(); place != nil; place = place.Next() {
+		updates = append(updates, t.update(place.Value.(*Row), now))
+	}
+	return updates
+}
+
+// Since returns the rows that changed after cursor, in the order of their last
+// change and up to a page. Heartbeats that only come to another instance than
+// before are left out unless beats is set.
 func (t *Table) Since(cursor uint64, beats bool, now time.Time) Changes {
 	changes := Changes{
 		From:   t.config.Self,
-		Cursor: t.revision,
+		Cursor: cursor,
+	}
+	place := t.recent.Back()
+	for place != nil && place.Value.(*Row).beat > cursor {
+		place = place.Prev()
+	}
+	if place == nil {
+		place = t.recent.Front()
+	} else {
+		place = place.Next()
 	}
-	for place := t.recent.Back(); place != nil; place = place.Prev() {
+	for ; place != nil; place = place.Next() {
+		if len(changes.Updates)+len(changes.Beats) >= pageRows {
+			changes.More = true
+			return changes
+		}
 		row := place.Value.(*Row)
+		changes.Cursor = row.beat
 		switch {
-		case row.beat <= cursor && cursor != 0:
-			return changes
-		case row.news > cursor || cursor == 0:
+		case row.news > cursor:
 			changes.Updates = append(changes.Updates, t.update(row, now))
 		case beats:
-			changes.Beats = append(changes.Beats, Beat{
-				Server:   row.Server,
-				Born:     row.Born,
-				Sequence: row.Sequence,
-				Age:      now.Sub(t.lastHeard(row)),
-			})
+			changes.Beats = append(changes.Beats, t.beat(row, now))
 		}
 	}
+	changes.Cursor = t.revision
 	return changes
 }
 
+func (t *Table) beat(row *Row, now time.Time) Beat {
+	return Beat{
+		Server:   row.Server,
+		Born:     row.Born,
+		Sequence: row.Sequence,
+		Age:      now.Sub(t.lastHeard(row)),
+	}
+}
+
 func (t *Table) update(r *Row, now time.Time) Update {
 	u := Update{
 		Announcement: r.Announcement,
@@ -90,7 +124,7 @@
 		t.told[changes.From] = now
 	}
 	for i := range changes.Updates {
-		t.merge(&changes.Updates[len(changes.Updates)-1-i], changes.From, now)
+		t.merge(&changes.Updates[i], changes.From, now)
 	}
 	unknown := 0
 	for _, beat := range changes.Beats {
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -18,7 +18,7 @@
 	Since(cursor uint64, beats bool, now time.Time) zfregistry.Changes
 	// Differing returns the backend servers of which another table has other
 	// digests.
-	Differing(digests []uint64, now time.Time) zfregistry.Changes
+	Differing(digests []uint64, first int, beats bool, now time.Time) zfregistry.Changes
 	// Published returns the control state.
 	Published() Published
 	// Contact returns how long ago a majority of the control instances was heard
@@ -168,7 +168,7 @@
 	changes := make(map[uint64]zfregistry.Changes)
 	f.waiters = slices.DeleteFunc(f.waiters, func(w waiter) bool {
 		changed := news > w.args.Cursor && !now.Before(w.from)
-		fresh := !f.Known(w.args) || changed || !w.args.Control && index > w.args.Index
+		fresh := !f.Known(w.args) || w.args.More || changed || !w.args.Control && index > w.args.Index
 		if !fresh && now.Before(w.until) {
 			return false
 		}
@@ -201,7 +201,7 @@
 func (f *Feed) changes(args FetchArgs, gathered map[uint64]zfregistry.Changes, now time.Time) zfregistry.Changes {
 	switch {
 	case !f.Known(args) && args.Digests != nil:
-		return f.config.Source.Differing(args.Digests, now)
+		return f.config.Source.Differing(args.Digests, args.Bucket, args.Control, now)
 	case args.Control:
 		return f.config.Source.Since(args.Cursor, true, now)
 	}
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -80,6 +80,10 @@
 	lost  bool
 	// owed are the backend servers that the other instance lacks.
 	owed []zfregistry.Update
+	// more tells that there are more changes than those of the last answer, bucket
+	// where they begin at the start of a session.
+	more   bool
+	bucket int
 	// told is the index of the control state that was told last. One that can't
 	// be read here is not asked for again.
 	told uint64
@@ -152,6 +156,8 @@
 	f.source = 0
 	f.cursor = 0
 	f.owed = nil
+	f.more = false
+	f.bucket = 0
 	f.told = 0
 	f.stale = false
 	f.peer = f.next >= len(controls)
@@ -206,7 +212,9 @@
 		Source:   f.source,
 		Cursor:   f.cursor,
 		Index:    max(known.Index, f.told),
+		More:     f.more,
 		Digests:  known.Digests,
+		Bucket:   f.bucket,
 		Outcomes: known.Outcomes,
 		Rows:     f.owed,
 		Hold:     hold,
@@ -218,8 +226,12 @@
 		return
 	}
 	first := f.source == 0
-	f.source = reply.Source
-	f.cursor = reply.Changes.Cursor
+	f.more = reply.Changes.More
+	f.bucket = reply.Changes.Next
+	if !first || !f.more { // The session begins with the last page.
+		f.source = reply.Source
+		f.cursor = reply.Changes.Cursor
+	}
 	f.told = reply.Index
 	f.controls = reply.Controls
 	if len(reply.Peers) > 0 {
--- a/io/zfcluster/follower_test.go
+++ b/io/zfcluster/follower_test.go
@@ -199,6 +199,23 @@
 		zfassert.Equal(t, "second cursor", second.Cursor, uint64(17))
 		zfassert.Equal(t, "second source", second.Source, uint64(6))
 	})
+	t.Run("a session begins with the last page", func(t *testing.T) {
+		address, i := serve(t, 6, zfcluster.FetchReply{
+			Changes: zfregistry.Changes{
+				Cursor: 17,
+				More:   true,
+				Next:   9,
+			},
+		})
+		sources := follow(t, "one", address)
+		<-sources
+		<-sources
+		first, second := <-i.calls, <-i.calls
+		zfassert.Equal(t, "bucket of the first fetch", first.Bucket, 0)
+		zfassert.Equal(t, "bucket of the second fetch", second.Bucket, 9)
+		zfassert.Equal(t, "source of the second fetch", second.Source, uint64(0))
+		zfassert.Equal(t, "cursor of the second fetch", second.Cursor, uint64(0))
+	})
 	t.Run("backend servers that the other one lacks go along with the next fetch", func(t *testing.T) {
 		address, i := serve(t, 6, zfcluster.FetchReply{})
 		sources := followBy(t, zfclock.System{}, []zfregistry.Update{{
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -64,11 +64,15 @@
 	// Source and Cursor are those of the last answer, or 0.
 	Source uint64
 	Cursor uint64
+	// More tells that the last answer said that there are more changes already.
+	More bool
 	// Index is that of the control state that the asker has.
 	Index uint64
 	// Digests tell what the asker knows of backend servers when it turns to another
 	// instance, which then sends those rows that differ.
 	Digests []uint64
+	// Bucket is where the next page of them begins.
+	Bucket int
 	// Rows are the backend servers that the answering instance lacks, as its last
 	// answer showed.
 	Rows []zfregistry.Update
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -29,8 +29,8 @@
 }
 
 // Differing implements zfcluster.Source.
-func (l *Loop) Differing(digests []uint64, now time.Time) zfregistry.Changes {
-	return l.config.World.Registry().Differing(digests, now)
+func (l *Loop) Differing(digests []uint64, first int, beats bool, now time.Time) zfregistry.Changes {
+	return l.config.World.Registry().Differing(digests, first, beats, now)
 }
 
 // Published implements zfcluster.Source.
--- a/io/zfkeeperloop/feed.go
+++ b/io/zfkeeperloop/feed.go
@@ -23,8 +23,8 @@
 }
 
 // Differing implements zfcluster.Source.
-func (s source) Differing(digests []uint64, now time.Time) zfregistry.Changes {
-	return s.world.Registry().Differing(digests, now)
+func (s source) Differing(digests []uint64, first int, beats bool, now time.Time) zfregistry.Changes {
+	return s.world.Registry().Differing(digests, first, beats, now)
 }
 
 // Published implements zfcluster.Source.
--- a/io/zfkeeperloop/loop.go
+++ b/io/zfkeeperloop/loop.go
@@ -254,6 +254,15 @@
 	l.put(func(time.Time) { l.config.World.Replica().Seed(seeds) })
 }
 
+// Digests returns those of the backend servers known here.
+func (l *Loop) Digests() []uint64 {
+	var digests []uint64
+	if l.do(func(time.Time) { digests = l.config.World.Registry().Digests() }) != nil {
+		return nil // The loop has ended; nobody asks any more.
+	}
+	return digests
+}
+
 // Learn takes what another control instance tells: its backend servers, and some
 // of the entry instances that follow it.
 func (l *Loop) Learn(from netip.AddrPort, reply zfcluster.FetchReply) {
--- a/io/zfkeeperloop/neighbour.go
+++ b/io/zfkeeperloop/neighbour.go
@@ -88,19 +88,25 @@
 func (n *Neighbours) ask(address netip.AddrPort, stop <-chan struct{}) {
 	client := zfcluster.NewClient(address, n.clock)
 	defer client.Close()
-	var source, cursor uint64
+	args := zfcluster.FetchArgs{
+		Instance: n.name,
+		Control:  true,
+		Hold:     neighbourHold,
+	}
 	for {
-		reply, err := client.Fetch(zfcluster.FetchArgs{
-			Instance: n.name,
-			Control:  true,
-			Source:   source,
-			Cursor:   cursor,
-			Hold:     neighbourHold,
-		}, neighbourHold+neighbourMargin)
+		args.Digests = nil
+		if args.Source == 0 {
+			args.Digests = n.loop.Digests()
+		}
+		reply, err := client.Fetch(args, neighbourHold+neighbourMargin)
 		pause := neighbourPause
 		if err == nil {
-			source = reply.Source
-			cursor = reply.Changes.Cursor
+			args.More = reply.Changes.More
+			args.Bucket = reply.Changes.Next
+			if args.Source != 0 || !args.More { // The session begins with the last page.
+				args.Source = reply.Source
+				args.Cursor = reply.Changes.Cursor
+			}
 			n.loop.Learn(address, reply)
 			pause = 0
 		}
--- a/io/zfkeeperloop/servers.go
+++ b/io/zfkeeperloop/servers.go
@@ -50,7 +50,7 @@
 		return
 	}
 	select {
-	case l.servers <- registry.Since(0, false, now).Updates:
+	case l.servers <- registry.All(now):
 		l.serversSaved = news
 		l.serversAt = now
 	default: // The disk is still busy with an earlier table.
