--- a/core/zfquorum/cluster_test.go
+++ b/core/zfquorum/cluster_test.go
@@ -34,6 +34,8 @@
 	centre  zf.CentreName
 	disk    disk
 	replica *zfquorum.Replica
+	// entry is the newest one that the replica held.
+	entry zfquorum.Entry
 	// down is when the machine starts again, cut until when it is cut off, and
 	// slow until when its disk is slow.
 	down time.Time
@@ -240,6 +242,7 @@
 		m.disk.pending = nil
 		m.replica.Saved(m.disk.serial, c.clock(m))
 	}
+	c.checkVoters(m)
 	if record, serial, ok := m.replica.Unsaved(); ok && m.disk.pending == nil {
 		m.disk.pending = &record
 		m.disk.serial = serial
@@ -267,6 +270,32 @@
 	}
 }
 
+// checkVoters checks that a leader changes one voter at a time: then any two
+// majorities in a row share one.
+func (c *cluster) checkVoters(m *machine) {
+	record, _, _ := m.replica.Unsaved()
+	before, entry := m.entry, record.Entry
+	m.entry = entry
+	if leader, ok := m.replica.Leader(); !ok || leader.ID != m.id || entry.Index != before.Index+1 || len(before.Voters) == 0 {
+		return
+	}
+	changed := missing(before.Voters, entry.Voters) + missing(entry.Voters, before.Voters)
+	if changed > 1 {
+		c.t.Fatalf("entry %d of %d changes %d voters at once", entry.Index, m.id, changed)
+	}
+}
+
+// missing counts the nodes that are not among the others.
+func missing(nodes, others []zfquorum.Node) int {
+	count := 0
+	for _, node := range nodes {
+		if !slices.ContainsFunc(others, func(o zfquorum.Node) bool { return o.ID == node.ID }) {
+			count++
+		}
+	}
+	return count
+}
+
 // settle answers the operations that are done and checks that no replica goes
 // back.
 func (c *cluster) settle() {
--- a/io/zfkeeperloop/call.go
+++ b/io/zfkeeperloop/call.go
@@ -101,18 +101,19 @@
 		return zfkeeper.Answer{}, err
 	}
 	start := l.config.Clock.Now()
-	defer func() { l.config.Counters.AskTime.Update(l.config.Clock.Now().Sub(start)) }()
 	answer, err := l.ask(command, false)
 	if err == nil && answer.Ask.ID != 0 {
 		answer, err = l.forward(answer.Ask, args)
 	}
+	took := l.config.Clock.Now().Sub(start)
+	l.config.Counters.AskTime.Update(took)
 	if err != nil {
-		l.config.Logger.Entry(zfevent.AskUnanswered).Str("ask", name).Err(err).Msg("")
+		l.config.Logger.Entry(zfevent.AskUnanswered).Str("ask", name).Dur("took", took).Err(err).Msg("")
 		return answer, err
 	}
 	if command != nil {
 		l.config.Logger.Entry(zfevent.CommandDone).Str("command", name).Str("status", answer.Outcome.Status.String()).
-			Uint64("version", answer.Outcome.Version).Uint64("index", answer.Index).Msg("")
+			Uint64("version", answer.Outcome.Version).Uint64("index", answer.Index).Dur("took", took).Msg("")
 	}
 	return answer, nil
 }
