Heartbeats go to a control instance of the own data centre; silence of who hears them is granted more time

Cause 1: backend servers sent heartbeats to any control instance, most of them over the links between data centres. Change 1: the answer to a heartbeat names a control instance of the backend server's data centre, the same one for it each time. An entry instance had found two repeated packets after a pause of its own. Change 2: silence of another process counts half an interval and 0.5 s longer; who hears heartbeats now is told to control instances at once; an instance that was suspended forgets the unanswered packets that it found.

--- a/core/zfcookie/attempt.go
+++ b/core/zfcookie/attempt.go
@@ -132,11 +132,12 @@
 	}
 }
 
-// sweep counts the requests that wait for too long.
-func (a *attempts) sweep(now time.Time) {
+// sweep counts the requests that wait for too long. It reports whether this
+// instance was suspended meanwhile; then all of them are forgotten.
+func (a *attempts) sweep(now time.Time) (suspended bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	suspended := !a.swept.IsZero() && now.Sub(a.swept) >= mostGap
+	suspended = !a.swept.IsZero() && now.Sub(a.swept) >= mostGap
 	a.swept = now
 	for i := range a.rows {
 		switch row := &a.rows[i]; {
@@ -147,4 +148,5 @@
 			row.fail()
 		}
 	}
+	return suspended
 }
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -108,10 +108,13 @@
 func (m *Mapper) Tick(now time.Time, view zf.View) []zf.Envelope {
 	if now.Sub(m.decayed) >= decayEvery {
 		m.decayed = now
+		suspended := m.attempts.sweep(now)
 		for _, l := range m.loads {
 			l.decay()
+			if suspended {
+				l.answered() // Packets that waited here meanwhile show nothing.
+			}
 		}
-		m.attempts.sweep(now)
 	}
 	if view.Informed && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -178,7 +178,9 @@
 		// pause is the time between two repetitions.
 		pause  time.Duration
 		answer bool
-		action zf.Action
+		// suspend is how long the instance stands still before it looks again.
+		suspend time.Duration
+		action  zf.Action
 	}{
 		{
 			name:   "unanswered packets alone end no flow",
@@ -212,6 +214,14 @@
 			pause:  200 * time.Millisecond,
 			action: zf.ActionReset,
 		},
+		{
+			name:    "what was found after a suspension ends no flow",
+			server:  late,
+			repeat:  2,
+			pause:   200 * time.Millisecond,
+			suspend: time.Second,
+			action:  zf.ActionForward,
+		},
 		{
 			name:   "an answer to anybody keeps it",
 			server: late,
@@ -229,6 +239,10 @@
 				mapper.Route(data(1, cookie, 7), now)
 				now = now.Add(c.pause)
 			}
+			if c.suspend > 0 {
+				now = now.Add(c.suspend)
+				mapper.Tick(now, view(c.server))
+			}
 			if c.answer {
 				mapper.Route(zf.Packet{
 					Flow:   flow(2),
--- a/core/zfkeeper/world.go
+++ b/core/zfkeeper/world.go
@@ -5,10 +5,12 @@
 package zfkeeper
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/zeebo/xxh3"
 
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
@@ -38,6 +40,9 @@
 	// freshContact is how old the last contact with a majority may be for
 	// silence of backend servers to mean something.
 	freshContact = 1200 * time.Millisecond
+	// freshNeighbour is how old the last word of another control instance may be
+	// for backend servers to be sent there: two of its held answers.
+	freshNeighbour = 900 * time.Millisecond
 	// judgeEvery is the time between two judgements of backend servers; entry
 	// instances tell outcomes each half second.
 	judgeEvery = 200 * time.Millisecond
@@ -92,6 +97,8 @@
 	machineOf uint64
 	asks      []ask
 	answers   []Answer
+	// neighbours is when each other control instance told anything last.
+	neighbours map[netip.AddrPort]time.Time
 	// hearing is since when this instance has been in touch with a majority.
 	hearing time.Time
 }
@@ -103,6 +110,8 @@
 		replica:  zfquorum.New(config.Quorum, now),
 		registry: zfregistry.New(config.Registry),
 		outliers: zfoutlier.New(config.Outlier),
+
+		neighbours: make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -149,6 +158,31 @@
 	w.serve(now)
 }
 
+// Learn takes what another control instance tells of backend servers.
+func (w *World) Learn(from netip.AddrPort, changes zfregistry.Changes, now time.Time) {
+	w.neighbours[from] = now
+	w.registry.Merge(changes, now)
+}
+
+// Home returns the control instance that a backend server should send its
+// heartbeats to, or the zero value if there is none: one of its own data centre, as
+// bytes between data centres are dear, and always the same one, so that it is told
+// once who hears them.
+func (w *World) Home(server zf.ServerName, centre zf.CentreName, now time.Time) netip.AddrPort {
+	var home netip.AddrPort
+	var best uint64
+	for _, node := range w.replica.Nodes(now) {
+		here := node.ID == w.replica.Self().ID
+		if node.Centre != centre || !here && now.Sub(w.neighbours[node.Address]) >= freshNeighbour {
+			continue
+		}
+		if rank := xxh3.HashStringSeed(string(server), uint64(node.ID)); !home.IsValid() || rank > best {
+			home, best = node.Address, rank
+		}
+	}
+	return home
+}
+
 // Note takes what an entry instance has seen of backend servers.
 func (w *World) Note(outcomes []zf.Outcome, now time.Time) { w.outliers.Note(outcomes, now) }
 
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -46,6 +46,9 @@
 
 func (t *Table) expire(row *Row, now, hearing time.Time) {
 	since := t.lastHeard(row)
+	if row.hearer != t.config.Self {
+		since = since.Add(t.config.Grace)
+	}
 	if hearing.After(since) {
 		since = hearing
 	}
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -24,6 +24,10 @@
 	Self Source
 	// Late is the silence after which a heartbeat is overdue.
 	Late time.Duration
+	// Grace is how much longer the silence of a process may be that hears the
+	// heartbeats in place of this one: the last of them may just have come, and
+	// whoever hears the next ones needs time to tell.
+	Grace time.Duration
 	// Expiry is the silence after which a backend server gets no new flows.
 	Expiry time.Duration
 	// Gone is the silence after which it is given up.
@@ -46,6 +50,9 @@
 	callTimeout = time.Second
 	// lateSlack is the time that a heartbeat may take over half an interval.
 	lateSlack = 150 * time.Millisecond
+	// tellTime is how old the word of a process that hears heartbeats may be, and
+	// the time that another one needs to tell that they come there now.
+	tellTime = 500 * time.Millisecond
 	// flowLife bounds how long flows of a dead backend server send packets.
 	flowLife = 60 * time.Second
 	// mostRows is twice the backend servers expected within two years.
@@ -61,11 +68,13 @@
 // DefaultConfig returns the constants of a process for backend servers that send
 // a heartbeat each interval.
 func DefaultConfig(self Source, interval time.Duration) Config {
+	late := interval*3/2 + callTimeout + lateSlack
 	return Config{
 		Self:   self,
-		Late:   interval*3/2 + callTimeout + lateSlack,
-		Expiry: missedBeats * interval,
-		Gone:   4 * missedBeats * interval,
+		Late:   late,
+		Grace:  interval/2 + tellTime,
+		Expiry: max(missedBeats*interval, late+interval),
+		Gone:   4 * max(missedBeats*interval, late+interval),
 		Keep:   flowLife,
 		Most:   mostRows,
 	}
@@ -148,6 +157,9 @@
 // News changes whenever a row changes by more than a heartbeat.
 func (t *Table) News() uint64 { return t.news }
 
+// Revision changes also when heartbeats begin to come to another instance.
+func (t *Table) Revision() uint64 { return t.revision }
+
 // Size returns the number of rows.
 func (t *Table) Size() int { return len(t.rows) }
 
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -12,8 +12,10 @@
 
 // Source is what a feed tells of. It belongs to the control goroutine.
 type Source interface {
-	// News changes whenever a backend server does by more than a heartbeat.
+	// News changes whenever a backend server does by more than a heartbeat,
+	// Revision also when heartbeats begin to come to another instance.
 	News() uint64
+	Revision() uint64
 	// Since returns the backend servers that changed after cursor.
 	Since(cursor uint64, beats bool, now time.Time) zfregistry.Changes
 	// Differing returns the backend servers of which another table has other
@@ -164,10 +166,14 @@
 		return
 	}
 	index := f.config.Source.Published().Index
-	news := f.config.Source.News()
+	news, revision := f.config.Source.News(), f.config.Source.Revision()
 	changes := make(map[uint64]zfregistry.Changes)
 	f.waiters = slices.DeleteFunc(f.waiters, func(w waiter) bool {
-		changed := news > w.args.Cursor && !now.Before(w.from)
+		latest := news
+		if w.args.Control {
+			latest = revision
+		}
+		changed := latest > w.args.Cursor && !now.Before(w.from)
 		fresh := !f.Known(w.args) || w.args.More || changed || !w.args.Control && index > w.args.Index
 		if !fresh && now.Before(w.until) {
 			return false
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -30,6 +30,8 @@
 
 func (s *state) News() uint64 { return s.registry.News() }
 
+func (s *state) Revision() uint64 { return s.registry.Revision() }
+
 func (s *state) Since(cursor uint64, beats bool, now time.Time) zfregistry.Changes {
 	return s.registry.Since(cursor, beats, now)
 }
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -23,6 +23,9 @@
 // News implements zfcluster.Source.
 func (l *Loop) News() uint64 { return l.config.World.Registry().News() }
 
+// Revision implements zfcluster.Source.
+func (l *Loop) Revision() uint64 { return l.config.World.Registry().Revision() }
+
 // Since implements zfcluster.Source.
 func (l *Loop) Since(cursor uint64, beats bool, now time.Time) zfregistry.Changes {
 	return l.config.World.Registry().Since(cursor, beats, now)
--- a/io/zfkeeperloop/call.go
+++ b/io/zfkeeperloop/call.go
@@ -1,6 +1,7 @@
 package zfkeeperloop
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,13 +19,15 @@
 // answer within its second.
 const leaderTimeout = 900 * time.Millisecond
 
-// Announce takes what a backend server tells of itself.
-func (l *Loop) Announce(a zf.Announcement) (zf.Reason, error) {
-	var reason zf.Reason
+// Announce takes what a backend server tells of itself. It returns the control
+// instance that should hear it from now on.
+func (l *Loop) Announce(a zf.Announcement) (netip.Addr, error) {
+	var home netip.Addr
 	err := l.do(func(now time.Time) {
 		registry := l.config.World.Registry()
 		before := registry.News()
-		reason = registry.Announce(a, now)
+		reason := registry.Announce(a, now)
+		home = l.config.World.Home(a.Server, a.Centre, now).Addr()
 		l.config.Counters.AnnounceTaken.Inc(1)
 		if reason != zf.ReasonNone {
 			l.config.Counters.AnnounceRefused.Add(reason)
@@ -33,7 +36,7 @@
 			l.logServer(a, reason, now)
 		}
 	})
-	return reason, err
+	return home, err
 }
 
 func (l *Loop) logServer(a zf.Announcement, reason zf.Reason, now time.Time) {
--- a/io/zfkeeperloop/feed.go
+++ b/io/zfkeeperloop/feed.go
@@ -17,6 +17,9 @@
 // News implements zfcluster.Source.
 func (s source) News() uint64 { return s.world.Registry().News() }
 
+// Revision implements zfcluster.Source.
+func (s source) Revision() uint64 { return s.world.Registry().Revision() }
+
 // Since implements zfcluster.Source.
 func (s source) Since(cursor uint64, beats bool, now time.Time) zfregistry.Changes {
 	return s.world.Registry().Since(cursor, beats, now)
--- a/io/zfkeeperloop/loop.go
+++ b/io/zfkeeperloop/loop.go
@@ -267,7 +267,7 @@
 // of the entry instances that follow it.
 func (l *Loop) Learn(from netip.AddrPort, reply zfcluster.FetchReply) {
 	l.put(func(now time.Time) {
-		l.config.World.Registry().Merge(reply.Changes, now)
+		l.config.World.Learn(from, reply.Changes, now)
 		l.feed.Distant(from, reply, now)
 	})
 }
