--- a/lab/zfsoak/soak_test.go
+++ b/lab/zfsoak/soak_test.go
@@ -28,7 +28,8 @@
 	{
 		seed: 116,
 		cause: "a paused control instance made heartbeats late, and an entry instance that woke from a pause" +
-			" took answered packets and their repetitions for unanswered ones: a living flow was reset",
+			" took answered packets and their repetitions for unanswered ones: a living flow was reset; again when" +
+			" the silence of a control instance made late all backend servers that it hears",
 	},
 }
 
