Loads of backend servers are added up over the entry instances of a data centre

Cause: each entry instance placed flows by the requests that it carried itself; with 67 of them each sees less than one request a second of a backend server, and the busiest got 1.43 to 1.57 times the mean. Change: entry instances tell their requests by cookie each second, control instances of the data centre add them up (zfload) and answer with the sums; the mapper compares two backend servers by these and by what it has placed since. What is left is that data centres differ in callers for each backend server, by 1.15 to 1.2; sending flows elsewhere costs more bytes between data centres than it gains while nobody is near its limit. TestSums, TestLoads, TestSharedLoads are new.

--- a/core/zfcookie/load.go
+++ b/core/zfcookie/load.go
@@ -14,6 +14,11 @@
 	openings atomic.Int64
 	// settled is the decayed count, in thousandths.
 	settled atomic.Int64
+	// untold counts requests since they were last told, fresh since the loads of all
+	// instances were last heard. shared is the latter, in thousandths.
+	untold atomic.Int64
+	fresh  atomic.Int64
+	shared atomic.Int64
 	// misses counts packets without an answer since the last answer.
 	misses atomic.Int32
 	// missedAt is when the first of them was noticed, in Unix nanoseconds.
@@ -34,6 +39,9 @@
 }
 
 const (
+	// openingRequests is what a new flow counts before its requests are heard of:
+	// those of the next few seconds.
+	openingRequests = 2
 	// unit is one packet in load.settled.
 	unit = 1000
 	// keepShare is the share of a load that is left after decayEvery: loads are
@@ -57,6 +65,24 @@
 	retryEvery = time.Second
 )
 
+// request notes a packet with data, open an opening packet.
+func (l *load) request() {
+	l.requests.Add(1)
+	l.untold.Add(1)
+	l.fresh.Add(1)
+}
+
+func (l *load) open() {
+	l.openings.Add(1)
+	l.fresh.Add(openingRequests)
+}
+
+// share takes the load of all instances.
+func (l *load) share(requests int) {
+	l.shared.Store(int64(requests) * unit)
+	l.fresh.Store(0)
+}
+
 func (l *load) decay() {
 	fresh := l.requests.Swap(0) + l.openings.Swap(0)
 	l.settled.Store(int64(float64(l.settled.Load())*keepShare) + fresh*unit)
@@ -76,7 +102,11 @@
 	return done, undone, done+undone > 0
 }
 
-// recent returns the load in thousandths of a packet.
+// total returns the load of all instances in thousandths of a request, as far as it
+// is known.
+func (l *load) total() int64 { return l.shared.Load() + l.fresh.Load()*unit }
+
+// recent returns this instance's load in thousandths of a packet.
 func (l *load) recent() int64 {
 	return l.settled.Load() + (l.requests.Load()+l.openings.Load())*unit
 }
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -28,7 +28,10 @@
 	attempts attempts
 	// loads holds what is known of each backend server beside its row; it
 	// belongs to the control goroutine.
-	loads    map[key]*load
+	loads map[key]*load
+	// shared tells that the loads of all instances are known, sharedAt since when.
+	shared   atomic.Bool
+	sharedAt time.Time
 	revision uint64
 	decayed  time.Time
 }
@@ -101,6 +104,9 @@
 	return cookie
 }
 
+// shareTimeout is how old the loads of all instances may be: a few rounds.
+const shareTimeout = 5 * time.Second
+
 // decayEvery is how often loads are decayed.
 const decayEvery = 100 * time.Millisecond
 
@@ -108,6 +114,9 @@
 func (m *Mapper) Tick(now time.Time, view zf.View) []zf.Envelope {
 	if now.Sub(m.decayed) >= decayEvery {
 		m.decayed = now
+		if now.Sub(m.sharedAt) >= shareTimeout {
+			m.shared.Store(false)
+		}
 		suspended := m.attempts.sweep(now)
 		for _, l := range m.loads {
 			l.decay()
@@ -214,6 +223,33 @@
 	return outcomes
 }
 
+// Loads implements zinniafront.Observer.
+func (m *Mapper) Loads() []zf.ServerLoad {
+	var loads []zf.ServerLoad
+	for k, l := range m.loads {
+		if requests := l.untold.Swap(0); requests > 0 {
+			loads = append(loads, zf.ServerLoad{
+				Cookie:   CookieOf(k.name, time.UnixMilli(k.born)),
+				Requests: int(requests),
+			})
+		}
+	}
+	return loads
+}
+
+// Share implements zinniafront.Observer.
+func (m *Mapper) Share(loads []zf.ServerLoad, now time.Time) {
+	requests := make(map[zf.Cookie]int, len(loads))
+	for _, load := range loads {
+		requests[load.Cookie] = load.Requests
+	}
+	for k, l := range m.loads {
+		l.share(requests[CookieOf(k.name, time.UnixMilli(k.born))])
+	}
+	m.sharedAt = now
+	m.shared.Store(true)
+}
+
 // Receive implements zinniafront.Mapper.
 func (m *Mapper) Receive(zf.InstanceName, zf.Message, time.Time) {}
 
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -253,3 +253,35 @@
 		})
 	}
 }
+
+func TestSharedLoads(t *testing.T) {
+	v := view(row(1, "orders", "one"), row(2, "orders", "one"))
+	busy := []zf.ServerLoad{{
+		Cookie:   zfcookie.CookieOf("s1", start),
+		Requests: 100,
+	}}
+	t.Run("the one that others load gets less", func(t *testing.T) {
+		mapper := newMapper(v)
+		mapper.Share(busy, start)
+		got := counts(mapper, 60, start)
+		zfassert.Equal(t, "flows of the busy one", got[1], 5) // 50 flows of two requests make up for it.
+	})
+	t.Run("loads that are old don't count", func(t *testing.T) {
+		mapper := newMapper(v)
+		mapper.Share(busy, start)
+		later := start.Add(6 * time.Second)
+		mapper.Tick(later, v)
+		got := counts(mapper, 60, later)
+		zfassert.True(t, "flows of the busy one", got[1] >= 25)
+	})
+	t.Run("requests are told once", func(t *testing.T) {
+		mapper := newMapper(v)
+		cookie := mapper.Route(opening(1, 0), start).Cookie
+		mapper.Route(data(1, cookie, 1), start)
+		zfassert.Equal(t, "loads", mapper.Loads(), []zf.ServerLoad{{
+			Cookie:   cookie,
+			Requests: 1,
+		}})
+		zfassert.Equal(t, "loads after that", len(mapper.Loads()), 0)
+	})
+}
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -42,6 +42,8 @@
 	// earlier is the load of the backend server that got the copy before, or nil.
 	earlier *load
 	now     time.Time
+	// shared tells that the loads of all instances are known.
+	shared bool
 }
 
 // bears reports whether a backend server may get a new flow: a cold one gets no
@@ -108,7 +110,7 @@
 			first = s
 			continue
 		}
-		if s.cost() < first.cost() {
+		if o.cost(s) < o.cost(first) {
 			return s
 		}
 		return first
@@ -117,7 +119,12 @@
 }
 
 // cost is the load of a backend server relative to what it can bear.
-func (s *server) cost() float64 { return float64(s.load.recent()+1) / s.Weight }
+func (o opener) cost(s *server) float64 {
+	if o.shared {
+		return float64(s.load.total()+1) / s.Weight
+	}
+	return float64(s.load.recent()+1) / s.Weight
+}
 
 // stepOf returns a step from 1 that reaches every place of a ring.
 func stepOf(hash, size uint64) uint64 {
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -78,7 +78,7 @@
 		m.attempts.acknowledge(hash, s.load, packet.Acknowledged)
 		return
 	}
-	s.load.requests.Add(1)
+	s.load.request()
 	repeated, answered := m.attempts.send(hash, s.load, packet, now)
 	switch {
 	case repeated:
@@ -110,11 +110,12 @@
 		copies:  packet.Copy,
 		earlier: earlier,
 		now:     now,
+		shared:  m.shared.Load(),
 	})
 	if s == nil {
 		return reset(zf.ReasonNoServer)
 	}
-	s.load.openings.Add(1)
+	s.load.open()
 	m.attempts.open(hash, s.load)
 	return forward(s)
 }
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -37,6 +37,10 @@
 // through all addresses that it knows takes about two seconds.
 const isolatedAfter = 2500 * time.Millisecond
 
+// loadEvery is the time between two exchanges of loads: flows send a request each
+// one to three seconds.
+const loadEvery = time.Second
+
 // News is what a control instance tells, or another entry instance.
 type News struct {
 	// Peers tells of other entry instances.
@@ -45,6 +49,8 @@
 	// is not known.
 	Entries int
 	Changes zfregistry.Changes
+	// Loads are those of all entry instances of the data centre, or nil.
+	Loads []zf.ServerLoad
 	// State is nil where it is the same as before.
 	State *State
 }
@@ -69,7 +75,9 @@
 	// returned is when each data centre was last brought back.
 	returned map[zf.CentreName]time.Time
 	stopping bool
-	seen     revisions
+	// loadsTold is when the requests to backend servers were last told.
+	loadsTold time.Time
+	seen      revisions
 }
 
 // returnCare is how long backend servers of a data centre that was brought back
@@ -109,6 +117,16 @@
 // unanswered lately.
 func (w *World) Outcomes() []zf.Outcome { return w.config.Observer.Outcomes() }
 
+// Loads returns the requests to each backend server since the last call, or nil if
+// that was told lately.
+func (w *World) Loads(now time.Time) []zf.ServerLoad {
+	if now.Sub(w.loadsTold) < loadEvery {
+		return nil
+	}
+	w.loadsTold = now
+	return w.config.Observer.Loads()
+}
+
 // Mapper returns the mapper, whose Route is for the traffic goroutines.
 func (w *World) Mapper() zf.Mapper { return w.config.Mapper }
 
@@ -125,6 +143,9 @@
 		w.entries = news.Entries
 	}
 	w.registry.Merge(news.Changes, now)
+	if news.Loads != nil {
+		w.config.Observer.Share(news.Loads, now)
+	}
 	changed := news.State != nil && news.State.Index > w.state.Index
 	if changed {
 		w.enforce(*news.State, now)
--- a/core/zfkeeper/world.go
+++ b/core/zfkeeper/world.go
@@ -15,6 +15,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfcontrol"
+	"zinniafront/core/zfload"
 	"zinniafront/core/zfoutlier"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
@@ -90,6 +91,7 @@
 	replica  *zfquorum.Replica
 	registry *zfregistry.Table
 	outliers *zfoutlier.Table
+	loads    *zfload.Table
 	judged   time.Time
 	verdicts []zfoutlier.Verdict
 	machine  *zfcontrol.Machine
@@ -110,6 +112,7 @@
 		replica:  zfquorum.New(config.Quorum, now),
 		registry: zfregistry.New(config.Registry),
 		outliers: zfoutlier.New(config.Outlier),
+		loads:    zfload.New(),
 
 		neighbours: make(map[netip.AddrPort]time.Time),
 	}
@@ -118,6 +121,9 @@
 // Replica returns the instance's part in the replication.
 func (w *World) Replica() *zfquorum.Replica { return w.replica }
 
+// Loads returns the loads of backend servers as entry instances tell them.
+func (w *World) Loads() *zfload.Table { return w.loads }
+
 // Registry returns the table of backend servers.
 func (w *World) Registry() *zfregistry.Table { return w.registry }
 
--- /dev/null
+++ b/core/zfload/table_test.go
@@ -0,0 +1,50 @@
+package zfload_test
+
+import (
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfload"
+	"zinniafront/lab/zfassert"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func load(cookie zf.Cookie, requests int) zf.ServerLoad {
+	return zf.ServerLoad{
+		Cookie:   cookie,
+		Requests: requests,
+	}
+}
+
+func assertLoads(t testing.TB, got []zf.ServerLoad, want ...zf.ServerLoad) {
+	t.Helper()
+	zfassert.Equal(t, "number of loads", len(got), len(want))
+	for i := range want {
+		zfassert.Equal(t, "load", got[i], want[i])
+	}
+}
+
+func TestSums(t *testing.T) {
+	table := zfload.New()
+	table.Note([]zf.ServerLoad{load(1, 10), load(2, 4)}, start)
+	table.Note([]zf.ServerLoad{load(1, 20)}, start)
+	table.Learn(7, []zf.ServerLoad{load(2, 6), load(3, 5)}, start)
+	t.Run("what entry instances tell here is added up", func(t *testing.T) {
+		assertLoads(t, table.Own(start), load(1, 30), load(2, 4))
+	})
+	t.Run("and what other control instances tell", func(t *testing.T) {
+		assertLoads(t, table.All(start), load(1, 30), load(2, 10), load(3, 5))
+	})
+	t.Run("the last word of each counts", func(t *testing.T) {
+		table.Learn(7, []zf.ServerLoad{load(3, 1)}, start)
+		assertLoads(t, table.All(start), load(1, 30), load(2, 4), load(3, 1))
+	})
+	t.Run("requests are forgotten with time", func(t *testing.T) {
+		assertLoads(t, table.Own(start.Add(3*time.Second)), load(1, 11), load(2, 1))
+	})
+	t.Run("and others that tell nothing any more", func(t *testing.T) {
+		assertLoads(t, table.All(start.Add(time.Minute)))
+	})
+}
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -26,6 +26,9 @@
 	// Contact returns how long ago a majority of the control instances was heard
 	// of.
 	Contact(now time.Time) time.Duration
+	// Loads returns the loads of backend servers that followers tell here, and those
+	// that other control instances tell too if all is set.
+	Loads(all bool, now time.Time) []zf.ServerLoad
 	// Controls returns the control instances that are there.
 	Controls(now time.Time) []zfquorum.Node
 }
@@ -78,8 +81,10 @@
 	// ID tells this run of the process from others.
 	ID     uint64
 	Source Source
-	// Peers has followers be told of each other.
+	// Peers has followers be told of each other, and of their loads.
 	Peers bool
+	// Centre is the data centre whose loads are told.
+	Centre zf.CentreName
 }
 
 // Feed answers fetches. It belongs to the control goroutine.
@@ -196,6 +201,9 @@
 		Peers:    f.peers(args, now),
 		Entries:  f.entries(!args.Control, now),
 	}
+	if f.config.Peers && args.Centre == f.config.Centre && (args.Control || args.Loads != nil) {
+		reply.Loads = f.config.Source.Loads(!args.Control, now)
+	}
 	if !args.Control && published.Index > args.Index {
 		reply.Document = published.Document
 		reply.Out = published.Out
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -20,6 +20,7 @@
 	registry  *zfregistry.Table
 	published zfcluster.Published
 	contact   time.Duration
+	loads     []zf.ServerLoad
 }
 
 func newState() *state {
@@ -44,6 +45,13 @@
 
 func (s *state) Contact(time.Time) time.Duration { return s.contact }
 
+func (s *state) Loads(all bool, _ time.Time) []zf.ServerLoad {
+	if all {
+		return s.loads
+	}
+	return s.loads[:min(len(s.loads), 1)]
+}
+
 func (s *state) Controls(time.Time) []zfquorum.Node { return nil }
 
 func (s *state) announce(sequence uint64) {
@@ -146,6 +154,56 @@
 	})
 }
 
+func TestLoads(t *testing.T) {
+	s := newState()
+	s.loads = make([]zf.ServerLoad, 2)
+	feed := zfcluster.NewFeed(zfcluster.FeedConfig{
+		ID:     7,
+		Source: s,
+		Peers:  true,
+		Centre: "one",
+	})
+	for _, c := range []struct {
+		name string
+		args zfcluster.FetchArgs
+		want int
+	}{
+		{
+			name: "who tells its loads hears those of the data centre",
+			args: zfcluster.FetchArgs{
+				Centre: "one",
+				Loads:  s.loads,
+			},
+			want: 2,
+		},
+		{
+			name: "others don't",
+			args: zfcluster.FetchArgs{
+				Centre: "one",
+			},
+		},
+		{
+			name: "nor does one of another data centre",
+			args: zfcluster.FetchArgs{
+				Centre: "two",
+				Loads:  s.loads,
+			},
+		},
+		{
+			name: "a control instance hears those told here alone",
+			args: zfcluster.FetchArgs{
+				Centre:  "one",
+				Control: true,
+			},
+			want: 1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			zfassert.Equal(t, "loads", len(assertAnswered(t, feed, c.args).Loads), c.want)
+		})
+	}
+}
+
 func TestSeries(t *testing.T) {
 	s := newState()
 	feed := newFeed(s)
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -60,6 +60,8 @@
 	Digests []uint64
 	// Outcomes are what became of requests. They are lost if the fetch fails.
 	Outcomes []zf.Outcome
+	// Loads are the requests to backend servers since they were last told, or nil.
+	Loads []zf.ServerLoad
 }
 
 // Follower has one control instance tell the news, and turns to another when
@@ -216,6 +218,7 @@
 		Digests:  known.Digests,
 		Bucket:   f.bucket,
 		Outcomes: known.Outcomes,
+		Loads:    known.Loads,
 		Rows:     f.owed,
 		Hold:     hold,
 	}, hold+fetchMargin)
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -79,6 +79,9 @@
 	// Outcomes are what became of requests to backend servers that left some
 	// unanswered lately.
 	Outcomes []zf.Outcome
+	// Loads are the requests to backend servers since they were last told. The answer
+	// to a fetch that tells them has those of the data centre.
+	Loads []zf.ServerLoad
 	// Hold is how long the answer may be held back while there is no news.
 	Hold time.Duration
 }
@@ -100,6 +103,9 @@
 	// Peers are other entry instances, which can tell the news where no control
 	// instance is reached.
 	Peers []netip.AddrPort
+	// Loads are those of the data centre; to a control instance of the same one, what
+	// the answering one's own followers tell.
+	Loads []zf.ServerLoad
 	// Entries is the number of entry instances, as far as they are known; to a
 	// control instance that of the answering one's own followers.
 	Entries int
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
 	"zinniafront/io/zfcluster"
@@ -49,6 +50,9 @@
 // Contact implements zfcluster.Source.
 func (l *Loop) Contact(now time.Time) time.Duration { return zfcluster.ContactAge(l.told.contact, now) }
 
+// Loads implements zfcluster.Source; entry instances add no loads up.
+func (l *Loop) Loads(bool, time.Time) []zf.ServerLoad { return nil }
+
 // Controls implements zfcluster.Source.
 func (l *Loop) Controls(time.Time) []zfquorum.Node { return l.told.controls }
 
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -149,8 +149,9 @@
 	known := zfcluster.Known{
 		Index: l.index.Load(),
 	}
-	l.do(func(time.Time) {
+	l.do(func(now time.Time) {
 		known.Outcomes = l.config.World.Outcomes()
+		known.Loads = l.config.World.Loads(now)
 		if first {
 			known.Digests = l.config.World.Registry().Digests()
 		}
@@ -165,6 +166,7 @@
 		Changes: reply.Changes,
 		Peers:   len(reply.Peers) > 0,
 		Entries: reply.Entries,
+		Loads:   reply.Loads,
 	}
 	if reply.Index > l.index.Load() {
 		state, err := l.state(reply)
--- a/io/zfkeeperloop/feed.go
+++ b/io/zfkeeperloop/feed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	zf "zinniafront"
 	"zinniafront/core/zfkeeper"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
@@ -45,6 +46,14 @@
 	return zfcluster.ContactAge(s.world.Replica().Contact(now), now)
 }
 
+// Loads implements zfcluster.Source.
+func (s source) Loads(all bool, now time.Time) []zf.ServerLoad {
+	if all {
+		return s.world.Loads().All(now)
+	}
+	return s.world.Loads().Own(now)
+}
+
 // Controls implements zfcluster.Source.
 func (s source) Controls(now time.Time) []zfquorum.Node { return s.world.Replica().Nodes(now) }
 
@@ -56,6 +65,7 @@
 			Updates: args.Rows,
 		}, now)
 		l.config.World.Note(args.Outcomes, now)
+		l.config.World.Loads().Note(args.Loads, now)
 		l.feed.Add(args, reply, now)
 	}) {
 		return zfcluster.FetchReply{}, ErrStopped
--- a/io/zfkeeperloop/loop.go
+++ b/io/zfkeeperloop/loop.go
@@ -82,7 +82,8 @@
 			Source: source{
 				world: config.World,
 			},
-			Peers: true,
+			Peers:  true,
+			Centre: config.World.Replica().Self().Centre,
 		}),
 		inbox:   make(chan func(now time.Time), inboxEvents),
 		done:    make(chan struct{}),
@@ -268,6 +269,9 @@
 func (l *Loop) Learn(from netip.AddrPort, reply zfcluster.FetchReply) {
 	l.put(func(now time.Time) {
 		l.config.World.Learn(from, reply.Changes, now)
+		if reply.Loads != nil {
+			l.config.World.Loads().Learn(reply.Source, reply.Loads, now)
+		}
 		l.feed.Distant(from, reply, now)
 	})
 }
--- a/io/zfkeeperloop/neighbour.go
+++ b/io/zfkeeperloop/neighbour.go
@@ -90,6 +90,7 @@
 	defer client.Close()
 	args := zfcluster.FetchArgs{
 		Instance: n.name,
+		Centre:   n.loop.config.World.Replica().Self().Centre,
 		Control:  true,
 		Hold:     neighbourHold,
 	}
--- a/ports.go
+++ b/ports.go
@@ -49,6 +49,10 @@
 	// backend servers that left some unanswered lately. It is called by the
 	// control goroutine.
 	Outcomes() []Outcome
+	// Loads returns the requests to each backend server since the last call.
+	Loads() []ServerLoad
+	// Share takes the loads of all entry instances of the data centre.
+	Share(loads []ServerLoad, now time.Time)
 }
 
 // Framing turns the datagrams of a fabric into packets and back. It is used by
--- a/value.go
+++ b/value.go
@@ -200,6 +200,12 @@
 	Unanswered int
 }
 
+// ServerLoad counts requests to the backend server of a cookie.
+type ServerLoad struct {
+	Cookie   Cookie
+	Requests int
+}
+
 // Candidate is one backend server that may take a request.
 type Candidate struct {
 	Server ServerID
