--- a/lab/zfsoak/fault.go
+++ b/lab/zfsoak/fault.go
@@ -12,10 +12,32 @@
 func (s *soak) trouble() {
 	for end := time.Now().Add(s.config.Busy); time.Now().Before(end); {
 		s.fault()
+		if s.storage.IntN(storageOdds) == 0 {
+			s.refuse()
+		}
 		time.Sleep(time.Duration(100+s.random.IntN(700)) * time.Millisecond)
 	}
 }
 
+// storageOdds is the number of faults to one of storage.
+const storageOdds = 6
+
+// refuse has the disk of a control instance refuse every write for a while, as a
+// full one does.
+func (s *soak) refuse() {
+	m := s.controls[s.storage.IntN(controlCount)]
+	d := time.Duration(500+s.storage.IntN(3000)) * time.Millisecond
+	if err := m.refuse(true); err != nil {
+		return // It refuses already.
+	}
+	s.check.fault("the disk of %s refuses writes for %s", m.name, d)
+	s.later(d, func() {
+		if err := m.refuse(false); err != nil {
+			s.check.fault("could not end that: %v", err)
+		}
+	})
+}
+
 // any returns some machine of the system, and how long its fault lasts.
 func (s *soak) any() (*machine, time.Duration) {
 	all := append(append([]*machine{}, s.controls...), s.entries...)
--- a/lab/zfsoak/process.go
+++ b/lab/zfsoak/process.go
@@ -54,6 +54,25 @@
 
 func (m *machine) settingsPath() string { return filepath.Join(m.folder, "settings.json") }
 
+// refuse has the process find folders in place of the files that it writes, or no
+// longer.
+func (m *machine) refuse(on bool) error {
+	for _, file := range []string{"record.new", "servers.new"} {
+		path := filepath.Join(m.data(), file)
+		if !on {
+			if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
+				return errors.Wrap(err, "end a disk's fault")
+			}
+			continue
+		}
+		_ = os.Remove(path) // A file may be there after a kill.
+		if err := os.Mkdir(path, 0o700); err != nil {
+			return errors.Wrap(err, "make a disk refuse writes")
+		}
+	}
+	return nil
+}
+
 func (m *machine) data() string { return filepath.Join(m.folder, "data") }
 
 // write writes the machine's settings.
--- a/lab/zfsoak/soak.go
+++ b/lab/zfsoak/soak.go
@@ -47,8 +47,10 @@
 
 // soak is one run.
 type soak struct {
-	config   Config
-	random   *rand.Rand
+	config Config
+	random *rand.Rand
+	// storage is a source of its own, so that its faults change no others.
+	storage  *rand.Rand
 	check    *checker
 	controls []*machine
 	entries  []*machine
@@ -69,9 +71,11 @@
 	s := &soak{
 		config: config,
 		random: rand.New(rand.NewPCG(config.Seed, 2)),
-		check:  newChecker(config.Seed),
-		routes: make(map[netip.AddrPort]string),
-		stop:   make(chan struct{}),
+
+		storage: rand.New(rand.NewPCG(config.Seed, 4)),
+		check:   newChecker(config.Seed),
+		routes:  make(map[netip.AddrPort]string),
+		stop:    make(chan struct{}),
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
