--- a/lab/zflabcmd/root.go
+++ b/lab/zflabcmd/root.go
@@ -10,15 +10,16 @@
 
 // Commands are the commands of zinnialab.
 type Commands struct {
-	Plan    PlanOptions    `cmd:"" help:"Write keys, settings and topology of a run."`
-	Fabric  FabricOptions  `cmd:"" help:"Stand in for the fabric."`
-	Backend BackendOptions `cmd:"" help:"Stand in for a backend server."`
-	Caller  CallerOptions  `cmd:"" help:"Stand in for the callers."`
-	Servers ServersOptions `cmd:"" help:"Print the names of the backend servers."`
-	Wait    WaitOptions    `cmd:"" help:"Wait for a state of a run."`
-	Compare CompareOptions `cmd:"" help:"Compare the ways of mapping flows under a fake clock."`
-	Collect CollectOptions `cmd:"" help:"Keep the counters of all instances."`
-	Report  ReportOptions  `cmd:"" help:"Print the measures of a run that has ended."`
+	Plan     PlanOptions     `cmd:"" help:"Write keys, settings and topology of a run."`
+	Fabric   FabricOptions   `cmd:"" help:"Stand in for the fabric."`
+	Backend  BackendOptions  `cmd:"" help:"Stand in for a backend server."`
+	Caller   CallerOptions   `cmd:"" help:"Stand in for the callers."`
+	Servers  ServersOptions  `cmd:"" help:"Print the names of the backend servers."`
+	Wait     WaitOptions     `cmd:"" help:"Wait for a state of a run."`
+	Compare  CompareOptions  `cmd:"" help:"Compare the ways of mapping flows under a fake clock."`
+	Capacity CapacityOptions `cmd:"" help:"Carry the figures of a sweep on to another size."`
+	Collect  CollectOptions  `cmd:"" help:"Keep the counters of all instances."`
+	Report   ReportOptions   `cmd:"" help:"Print the measures of a run that has ended."`
 }
 
 // Main runs one command line and returns the exit code.
--- /dev/null
+++ b/lab/zfsweep/plot.go
@@ -0,0 +1,76 @@
+package zfsweep
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 4.5 * vg.Inch
+)
+
+// PlotConfig holds what a plot is made from.
+type PlotConfig struct {
+	Table *Table
+	// Names are the rows to draw.
+	Names []string
+	// Size is how far the rows are carried on.
+	Size int
+	// Format is that of the picture, for instance svg.
+	Format string
+}
+
+// Plot draws the greatest values of rows by size, on logarithmic axes, and where
+// their growth leads.
+func Plot(w io.Writer, config PlotConfig) error {
+	p := plot.New()
+	p.Title.Text = "Busiest machine by size; the last points are carried on"
+	p.X.Label.Text = "machines of the system"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{}, plot.LogTicks{}
+	p.Legend.Top = true
+	p.Legend.Left = true
+	lines := make([]any, 0, 2*len(config.Names))
+	for _, row := range config.Table.Rows {
+		if points := config.points(row); points != nil {
+			lines = append(lines, row.Name, points)
+		}
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return errors.Wrap(err, "draw rows")
+	}
+	picture, err := p.WriterTo(plotWidth, plotHeight, config.Format)
+	if err != nil {
+		return errors.Wrap(err, "draw plot")
+	}
+	_, err = picture.WriteTo(w)
+	return errors.Wrap(err, "write plot")
+}
+
+// points returns a row's points, or nil if it is not to be drawn.
+func (c PlotConfig) points(row Row) plotter.XYs {
+	for _, name := range c.Names {
+		carried, ok := c.Table.At(row, c.Size)
+		if name != row.Name || !ok {
+			continue
+		}
+		points := make(plotter.XYs, 0, len(row.Figures)+1)
+		for i, figure := range row.Figures {
+			points = append(points, plotter.XY{
+				X: float64(c.Table.Sizes[i]),
+				Y: figure.Greatest,
+			})
+		}
+		return append(points, plotter.XY{
+			X: float64(c.Size),
+			Y: carried,
+		})
+	}
+	return nil
+}
