--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -28,7 +28,7 @@
 	attempts attempts
 	// loads holds what is known of each backend server beside its row; it
 	// belongs to the control goroutine.
-	loads map[key]*load
+	loads map[zf.Life]*load
 	// shared tells that the loads of all instances are known, sharedAt since when.
 	shared   atomic.Bool
 	sharedAt time.Time
@@ -36,12 +36,6 @@
 	decayed  time.Time
 }
 
-// key identifies one life of a backend server.
-type key struct {
-	name zf.ServerName
-	born int64
-}
-
 // snapshot is what the traffic goroutines read.
 type snapshot struct {
 	routes  map[netip.AddrPort]*route
@@ -89,7 +83,7 @@
 func New(config Config) *Mapper {
 	return &Mapper{
 		config: config,
-		loads:  make(map[key]*load),
+		loads:  make(map[zf.Life]*load),
 	}
 }
 
@@ -139,7 +133,7 @@
 		cookies: make(map[zf.Cookie]*server, len(view.Servers)),
 	}
 	pools := make(map[zf.ServiceName]*pool)
-	loads := make(map[key]*load, len(view.Servers))
+	loads := make(map[zf.Life]*load, len(view.Servers))
 	for _, row := range view.Servers {
 		s := m.server(row, loads)
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
@@ -172,16 +166,13 @@
 	return s.Born.Before(other.Born) || s.Born.Equal(other.Born) && s.Name < other.Name
 }
 
-func (m *Mapper) server(row zf.ServerView, loads map[key]*load) *server {
-	k := key{
-		name: row.Name,
-		born: row.Born.UnixMilli(),
-	}
-	l := m.loads[k]
+func (m *Mapper) server(row zf.ServerView, loads map[zf.Life]*load) *server {
+	life := zf.LifeOf(row.Name, row.Born)
+	l := m.loads[life]
 	if l == nil {
 		l = &load{}
 	}
-	loads[k] = l
+	loads[life] = l
 	return &server{
 		ServerView: row,
 		cookie:     CookieOf(row.Name, row.Born),
@@ -208,14 +199,14 @@
 // Outcomes implements zinniafront.Observer.
 func (m *Mapper) Outcomes() []zf.Outcome {
 	var outcomes []zf.Outcome
-	for k, l := range m.loads {
+	for life, l := range m.loads {
 		done, undone, ok := l.outcome()
 		if !ok {
 			continue
 		}
 		outcomes = append(outcomes, zf.Outcome{
-			Server:     k.name,
-			Born:       time.UnixMilli(k.born),
+			Server:     life.Server,
+			Born:       life.Born(),
 			Answered:   done,
 			Unanswered: undone,
 		})
@@ -226,10 +217,10 @@
 // Loads implements zinniafront.Observer.
 func (m *Mapper) Loads() []zf.ServerLoad {
 	var loads []zf.ServerLoad
-	for k, l := range m.loads {
+	for life, l := range m.loads {
 		if requests := l.untold.Swap(0); requests > 0 {
 			loads = append(loads, zf.ServerLoad{
-				Cookie:   CookieOf(k.name, time.UnixMilli(k.born)),
+				Cookie:   CookieOf(life.Server, life.Born()),
 				Requests: int(requests),
 			})
 		}
@@ -243,8 +234,8 @@
 	for _, load := range loads {
 		requests[load.Cookie] = load.Requests
 	}
-	for k, l := range m.loads {
-		l.share(requests[CookieOf(k.name, time.UnixMilli(k.born))])
+	for life, l := range m.loads {
+		l.share(requests[CookieOf(life.Server, life.Born())])
 	}
 	m.sharedAt = now
 	m.shared.Store(true)
--- a/core/zfoutlier/table.go
+++ b/core/zfoutlier/table.go
@@ -44,19 +44,6 @@
 	}
 }
 
-// key identifies one life of a backend server.
-type key struct {
-	server zf.ServerName
-	born   int64
-}
-
-func keyOf(server zf.ServerName, born time.Time) key {
-	return key{
-		server: server,
-		born:   born.UnixMilli(),
-	}
-}
-
 // row is what is known of one life of a backend server. Its counts are decayed
 // up to at.
 type row struct {
@@ -70,21 +57,21 @@
 // Table holds the backend servers that lately left requests unanswered.
 type Table struct {
 	config Config
-	rows   map[key]*row
+	rows   map[zf.Life]*row
 }
 
 // New returns a table without rows.
 func New(config Config) *Table {
 	return &Table{
 		config: config,
-		rows:   make(map[key]*row),
+		rows:   make(map[zf.Life]*row),
 	}
 }
 
 // Note takes outcomes that an entry instance tells.
 func (t *Table) Note(outcomes []zf.Outcome, now time.Time) {
 	for _, o := range outcomes {
-		k := keyOf(o.Server, o.Born)
+		k := zf.LifeOf(o.Server, o.Born)
 		r := t.rows[k]
 		if r == nil {
 			r = &row{
@@ -156,7 +143,7 @@
 			groups[s.Service] = g
 		}
 		g.alive++
-		r := t.rows[keyOf(s.Name, s.Born)]
+		r := t.rows[zf.LifeOf(s.Name, s.Born)]
 		if r == nil {
 			continue
 		}
--- a/core/zfregistry/digest.go
+++ b/core/zfregistry/digest.go
@@ -120,14 +120,14 @@
 			differs[bucket] = true
 		}
 	}
-	known := make(map[Key]uint64, len(changes.Updates))
+	known := make(map[zf.Life]uint64, len(changes.Updates))
 	for i := range changes.Updates {
 		u := &changes.Updates[i]
-		known[keyOf(u.Server, u.Born)] = u.Sequence
+		known[zf.LifeOf(u.Server, u.Born)] = u.Sequence
 	}
 	var lacking []Update
 	for _, row := range t.Rows() {
-		sequence, ok := known[keyOf(row.Server, row.Born)]
+		sequence, ok := known[zf.LifeOf(row.Server, row.Born)]
 		if differs[bucketOf(row.Server)] && (!ok || sequence < row.Sequence) {
 			lacking = append(lacking, t.update(row, now))
 		}
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -10,9 +10,9 @@
 // when every heartbeat could have arrived; the zero value tells that it can't
 // now. It also ends cold starts and forgets rows that have long been gone.
 func (t *Table) Tick(now, hearing time.Time) {
-	for key, row := range t.rows {
+	for life, row := range t.rows {
 		if row.Status == zf.ServerGone {
-			t.forget(key, row, now)
+			t.forget(life, row, now)
 			continue
 		}
 		if row.Status == zf.ServerCold && !now.Before(row.ColdUntil) {
@@ -64,11 +64,11 @@
 	}
 }
 
-func (t *Table) forget(key Key, row *Row, now time.Time) {
+func (t *Table) forget(life zf.Life, row *Row, now time.Time) {
 	if now.Sub(row.since) < t.config.Keep {
 		return
 	}
-	delete(t.rows, key)
+	delete(t.rows, life)
 	if t.names[row.Server] == row {
 		delete(t.names, row.Server)
 	}
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -128,7 +128,7 @@
 	}
 	unknown := 0
 	for _, beat := range changes.Beats {
-		row := t.rows[keyOf(beat.Server, beat.Born)]
+		row := t.rows[zf.LifeOf(beat.Server, beat.Born)]
 		if row == nil {
 			unknown++
 			continue
@@ -147,7 +147,7 @@
 }
 
 func (t *Table) merge(u *Update, from Source, now time.Time) {
-	known := t.rows[keyOf(u.Server, u.Born)]
+	known := t.rows[zf.LifeOf(u.Server, u.Born)]
 	if known == nil && u.Status == zf.ServerGone && !u.Proven {
 		return
 	}
--- /dev/null
+++ b/core/zfregistry/hearer_test.go
@@ -0,0 +1,140 @@
+package zfregistry_test
+
+import (
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfregistry"
+	"zinniafront/lab/zfassert"
+)
+
+func TestHearers(t *testing.T) {
+	// pair returns two tables of which the first hears a backend server, and the
+	// cursor up to which the second knows.
+	pair := func() (here, there *zfregistry.Table, cursor uint64) {
+		here, there = newTable(), newTableOf(other)
+		here.Announce(beat("a", born, 1), start)
+		changes := here.Since(0, true, start)
+		there.Merge(changes, start)
+		return here, there, changes.Cursor
+	}
+	t.Run("who tells nothing else says that heartbeats come", func(t *testing.T) {
+		here, there, cursor := pair()
+		later := start.Add(5 * interval)
+		here.Announce(beat("a", born, 2), later)
+		there.Merge(here.Since(cursor, true, later), later)
+		there.Tick(later.Add(interval), start)
+		assertStatus(t, there, "a", zf.ServerWarm)
+		zfassert.True(t, "not late", !there.Find("a").Late)
+	})
+	t.Run("once it tells nothing at all silence counts", func(t *testing.T) {
+		_, there, _ := pair()
+		there.Tick(start.Add(4*interval), start)
+		zfassert.True(t, "late", there.Find("a").Late)
+		there.Tick(start.Add(5*interval), start)
+		assertStatus(t, there, "a", zf.ServerSilent)
+	})
+	t.Run("a backend server whose hearer is suspended is never late", func(t *testing.T) {
+		for _, interval := range []time.Duration{250 * time.Millisecond, 770 * time.Millisecond, 1200 * time.Millisecond} {
+			there := zfregistry.New(zfregistry.DefaultConfig(other, interval))
+			here, next := newTable(), newTableOf(third)
+			here.Announce(beat("a", born, 1), start)
+			there.Merge(here.Since(0, true, start), start)
+			// The hearer told last 0.4 s before it was suspended, right after a
+			// heartbeat. The next one goes elsewhere once its call has timed out.
+			suspended := start.Add(400 * time.Millisecond)
+			turned := suspended.Add(interval + time.Second)
+			for now := start; now.Before(turned); now = now.Add(10 * time.Millisecond) {
+				there.Tick(now, start)
+			}
+			next.Announce(beat("a", born, 2), turned)
+			now := turned.Add(100 * time.Millisecond)
+			there.Tick(now, start)
+			zfassert.True(t, interval.String()+": not late", !there.Find("a").Late)
+			there.Merge(next.Since(0, true, now), now)
+			there.Tick(now, start)
+			assertStatus(t, there, "a", zf.ServerWarm)
+		}
+	})
+	t.Run("its word on silence is taken", func(t *testing.T) {
+		here, there, cursor := pair()
+		for _, c := range []struct {
+			after  time.Duration
+			status zf.ServerState
+		}{
+			{
+				after:  3 * interval,
+				status: zf.ServerWarm,
+			},
+			{
+				after:  4 * interval,
+				status: zf.ServerSilent,
+			},
+			{
+				after:  16 * interval,
+				status: zf.ServerGone,
+			},
+		} {
+			now := start.Add(c.after)
+			here.Tick(now, start)
+			there.Merge(here.Since(cursor, true, now), now)
+			assertStatus(t, there, "a", c.status)
+			zfassert.True(t, "late", there.Find("a").Late)
+		}
+	})
+	t.Run("that of another one is not", func(t *testing.T) {
+		_, there, _ := pair()
+		deaf := newTableOf(third)
+		deaf.Merge(there.Since(0, true, start), start)
+		later := start.Add(5 * interval)
+		deaf.Tick(later, start)
+		assertStatus(t, deaf, "a", zf.ServerSilent)
+		there.Merge(deaf.Since(0, true, later), later)
+		assertStatus(t, there, "a", zf.ServerWarm)
+	})
+	t.Run("a backend server that turns to another instance is told", func(t *testing.T) {
+		here, there, cursor := pair()
+		moved := start.Add(interval)
+		known := there.Since(0, true, moved).Cursor
+		there.Announce(beat("a", born, 2), moved)
+		changes := there.Since(known, true, moved)
+		zfassert.Equal(t, "heartbeats", len(changes.Beats), 1)
+		zfassert.Equal(t, "rows for entry instances", len(there.Since(known, false, moved).Updates), 0)
+		here.Merge(changes, moved)
+		later := start.Add(5 * interval)
+		here.Merge(there.Since(changes.Cursor, true, later), later)
+		here.Tick(later, start)
+		assertStatus(t, here, "a", zf.ServerWarm)
+		zfassert.Equal(t, "changes", len(here.Since(cursor, false, later).Updates), 0)
+	})
+}
+
+func TestSuspicion(t *testing.T) {
+	here, there := newTable(), newTableOf(other)
+	here.Announce(beat("a", born, 1), start)
+	until := start.Add(3 * time.Second)
+	here.Suspect("a", born, until)
+	there.Merge(here.Since(0, true, start), start)
+	t.Run("it is told", func(t *testing.T) {
+		zfassert.True(t, "suspect", there.View(nil)[0].Suspect)
+	})
+	t.Run("tables that tell each other of it come to rest", func(t *testing.T) {
+		before := here.News()
+		here.Merge(there.Since(0, true, start.Add(time.Millisecond)), start.Add(2*time.Millisecond))
+		zfassert.Equal(t, "news", here.News(), before)
+	})
+	t.Run("heartbeats don't end it", func(t *testing.T) {
+		here.Announce(beat("a", born, 2), start.Add(time.Second))
+		zfassert.True(t, "suspect", here.View(nil)[0].Suspect)
+	})
+	t.Run("it ends by itself", func(t *testing.T) {
+		there.Tick(until, time.Time{})
+		zfassert.True(t, "not suspect", !there.View(nil)[0].Suspect)
+	})
+	t.Run("one that is not known is not suspected", func(t *testing.T) {
+		before := here.News()
+		here.Suspect("b", born, until)
+		zfassert.Equal(t, "news", here.News(), before)
+	})
+}
--- a/lab/zfsoak/fault.go
+++ b/lab/zfsoak/fault.go
@@ -156,6 +156,32 @@
 	}
 }
 
+const (
+	// drainTime is how long a backend server that leaves may get new flows, as the
+	// platform's page states it.
+	drainTime = 3 * time.Second
+	// drainWatch is how long it is watched then; some 20 flows open in it.
+	drainWatch = time.Second
+)
+
+// retire has a backend server leave in calm, and checks that it gets no new flows.
+func (s *soak) retire() {
+	h := s.hosts[0]
+	acknowledged := h.Drain()
+	s.pause(drainTime)
+	before := h.Openings.Load()
+	s.pause(drainWatch)
+	opened := h.Openings.Load() - before
+	s.check.mutex.Lock()
+	defer s.check.mutex.Unlock()
+	if !acknowledged {
+		s.check.broken("%s leaves and nobody acknowledges it", h.ID())
+	}
+	if opened > 0 {
+		s.check.broken("%s left %s ago and got %d new flows", h.ID(), drainTime, opened)
+	}
+}
+
 // heal ends all faults and brings back all zones.
 func (s *soak) heal() {
 	for _, m := range append(append([]*machine{}, s.controls...), s.entries...) {
--- a/lab/zfsoak/soak.go
+++ b/lab/zfsoak/soak.go
@@ -89,6 +89,7 @@
 	s.progress("faults are over")
 	s.heal()
 	s.calm("the system serves again after the faults")
+	s.retire()
 	s.final()
 	close(s.stop)
 	s.running.Wait()
--- a/value.go
+++ b/value.go
@@ -190,6 +190,24 @@
 	Number uint64
 }
 
+// Life identifies one life of a backend server, as a key of tables.
+type Life struct {
+	Server ServerName
+	// born is in Unix milliseconds, so that equal times are equal keys.
+	born int64
+}
+
+// LifeOf returns the life of a backend server that began at born.
+func LifeOf(server ServerName, born time.Time) Life {
+	return Life{
+		Server: server,
+		born:   born.UnixMilli(),
+	}
+}
+
+// Born returns when the life began.
+func (l Life) Born() time.Time { return time.UnixMilli(l.born) }
+
 // Outcome counts what became of requests to one life of a backend server.
 type Outcome struct {
 	Server ServerName
