Routes of IPv4 are found by a packed key; the benchmark of Route plays what it names

The benchmark sent each packet's sequence again and again, so that all backend servers were suspected and opening packets looked at each of them. TestAddresses is new.

--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -38,10 +38,45 @@
 
 // snapshot is what the traffic goroutines read.
 type snapshot struct {
-	routes  map[netip.AddrPort]*route
+	routes  routes
 	cookies map[zf.Cookie]*server
 }
 
+// routes holds the routes by address. Those of IPv4 have a map of their own, whose
+// keys are hashed in a third of the time.
+type routes struct {
+	four  map[uint64]*route
+	other map[netip.AddrPort]*route
+}
+
+func newRoutes(size int) routes {
+	return routes{
+		four:  make(map[uint64]*route, size),
+		other: make(map[netip.AddrPort]*route),
+	}
+}
+
+// fourOf returns the key of an IPv4 address.
+func fourOf(address netip.AddrPort) uint64 {
+	host := address.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(host[:]))<<16 | uint64(address.Port())
+}
+
+func (r routes) add(address netip.AddrPort, added *route) {
+	if address.Addr().Is4() {
+		r.four[fourOf(address)] = added
+		return
+	}
+	r.other[address] = added
+}
+
+func (r routes) find(address netip.AddrPort) *route {
+	if address.Addr().Is4() {
+		return r.four[fourOf(address)]
+	}
+	return r.other[address]
+}
+
 type route struct {
 	targets []target
 	// total is the sum of all weights.
@@ -129,7 +164,7 @@
 // publish builds the snapshot of a view.
 func (m *Mapper) publish(view zf.View) {
 	next := &snapshot{
-		routes:  make(map[netip.AddrPort]*route, len(view.Routes)),
+		routes:  newRoutes(len(view.Routes)),
 		cookies: make(map[zf.Cookie]*server, len(view.Servers)),
 	}
 	pools := make(map[zf.ServiceName]*pool)
@@ -151,7 +186,7 @@
 		p.sort()
 	}
 	for _, r := range view.Routes {
-		next.routes[r.Address] = newRoute(r, pools)
+		next.routes.add(r.Address, newRoute(r, pools))
 	}
 	m.loads = loads
 	m.current.Store(next)
--- a/core/zfcookie/mapper_test.go
+++ b/core/zfcookie/mapper_test.go
@@ -93,6 +93,48 @@
 	assertVerdict(t, got, zf.ActionForward, zf.ReasonNone)
 }
 
+func TestAddresses(t *testing.T) {
+	six := netip.MustParseAddrPort("[2001:db8::1]:443")
+	v := view(row(1, "orders", "one"))
+	v.Routes = append(v.Routes, zf.RouteView{
+		Address: six,
+		Targets: v.Routes[0].Targets,
+	})
+	mapper := newMapper(v)
+	for _, c := range []struct {
+		name        string
+		destination netip.AddrPort
+		action      zf.Action
+	}{
+		{
+			name:        "a route of IPv4",
+			destination: frontend,
+			action:      zf.ActionForward,
+		},
+		{
+			name:        "one of IPv6",
+			destination: six,
+			action:      zf.ActionForward,
+		},
+		{
+			name:        "another port",
+			destination: netip.AddrPortFrom(frontend.Addr(), 444),
+			action:      zf.ActionReset,
+		},
+		{
+			name:        "another address of IPv6",
+			destination: netip.MustParseAddrPort("[2001:db8::2]:443"),
+			action:      zf.ActionReset,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			packet := opening(1, 0)
+			packet.Flow.Destination = c.destination
+			zfassert.Equal(t, "action", mapper.Route(packet, start).Action, c.action)
+		})
+	}
+}
+
 func TestFlows(t *testing.T) {
 	v := view(row(1, "orders", "one"), row(2, "orders", "one"), row(3, "orders", "one"))
 	mapper := newMapper(v)
@@ -218,29 +260,37 @@
 	for n := range uint64(150) {
 		servers = append(servers, row(n+1, "orders", "one"))
 	}
-	mapper := newMapper(view(servers...))
 	packets := make([]zf.Packet, 0, 4096)
 	for n := range 4096 {
 		packets = append(packets, data(n, zfcookie.CookieOf(servers[n%150].Name, start), uint32(n)))
 	}
-	acknowledgement := packets[0]
-	acknowledgement.Data = 0
+	openings := make([]zf.Packet, 0, 4096)
+	for n := range 4096 {
+		openings = append(openings, opening(n, 0))
+	}
 	b.Run("data", func(b *testing.B) {
+		mapper := newMapper(view(servers...))
 		b.ReportAllocs()
 		for i := 0; b.Loop(); i++ {
-			mapper.Route(packets[i%len(packets)], start)
+			packet := &packets[i%len(packets)]
+			packet.Sequence++
+			mapper.Route(*packet, start)
 		}
 	})
 	b.Run("acknowledgement", func(b *testing.B) {
+		mapper := newMapper(view(servers...))
+		acknowledgement := packets[0]
+		acknowledgement.Data = 0
 		b.ReportAllocs()
 		for b.Loop() {
 			mapper.Route(acknowledgement, start)
 		}
 	})
 	b.Run("opening", func(b *testing.B) {
+		mapper := newMapper(view(servers...))
 		b.ReportAllocs()
 		for i := 0; b.Loop(); i++ {
-			mapper.Route(opening(i%60000, 0), start)
+			mapper.Route(openings[i%len(openings)], start)
 		}
 	})
 }
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -39,7 +39,7 @@
 	if s == nil {
 		return drop(zf.ReasonNotReady)
 	}
-	r := s.routes[packet.Flow.Destination]
+	r := s.routes.find(packet.Flow.Destination)
 	if packet.Kind == zf.PacketOpening {
 		return m.open(r, packet, now)
 	}
