--- a/lab/zfsoak/fault.go
+++ b/lab/zfsoak/fault.go
@@ -97,7 +97,7 @@
 	if _, ok := s.routes[route]; ok {
 		delete(s.routes, route)
 	} else {
-		s.routes[route] = "orders"
+		s.routes[route] = services[0]
 	}
 	s.check.fault("change to version over %d", s.version)
 	s.put(3)
@@ -134,7 +134,8 @@
 	number, service := uint64(0), h.Service()
 	switch s.random.IntN(3) {
 	case 0:
-		s.check.fault("%s crashes, its address is used again", h.ID())
+		service = s.successor(service)
+		s.check.fault("%s crashes, its address is used again for %s", h.ID(), service)
 		h.Crash()
 		time.Sleep(300 * time.Millisecond)
 	case 1:
@@ -182,6 +183,24 @@
 	}
 }
 
+// successor returns the service that an address goes to: in half of the cases the
+// other one, if its own keeps two backend servers.
+func (s *soak) successor(service string) string {
+	count := 0
+	for _, h := range s.hosts {
+		if h.Service() == service {
+			count++
+		}
+	}
+	if count <= 2 || s.storage.IntN(2) == 0 {
+		return service
+	}
+	if service == services[0] {
+		return services[1]
+	}
+	return services[0]
+}
+
 // heal ends all faults and brings back all zones.
 func (s *soak) heal() {
 	for _, m := range append(append([]*machine{}, s.controls...), s.entries...) {
--- a/lab/zfsoak/soak.go
+++ b/lab/zfsoak/soak.go
@@ -152,8 +152,8 @@
 			return err
 		}
 	}
-	s.routes[s.route(1)] = "orders"
-	s.routes[s.route(2)] = "proofs"
+	s.routes[s.route(1)] = services[0]
+	s.routes[s.route(2)] = services[1]
 	return nil
 }
 
@@ -172,10 +172,13 @@
 	return m.run()
 }
 
+// services are those of the deployment.
+var services = [...]string{"orders", "proofs"}
+
 // host starts a new backend server at place i.
 func (s *soak) host(i int, controls []netip.AddrPort) error {
 	s.numbers++
-	return s.life(i, s.numbers, []string{"orders", "proofs"}[i/2%2], controls)
+	return s.life(i, s.numbers, services[i/2%2], controls)
 }
 
 // life starts a backend server with a number at place i.
@@ -276,7 +279,7 @@
 	c := zfplatform.Configuration{
 		Version: s.version,
 	}
-	for _, name := range []string{"orders", "proofs"} {
+	for _, name := range services {
 		c.Services = append(c.Services, struct{ Name string }{
 			Name: name,
 		})
