Digests of backend servers are kept up to date; the first pages may take a second

Cause: after all processes were killed at 300 machines, each page of each entry instance had a control instance hash all 3,000 rows, and answers came later than the fetch's 0.5 s. Change: a row's part in its bucket's digest changes with the row, rows are found by bucket, and the fetches at the start of a session may take 1 s.

--- a/core/zfregistry/digest.go
+++ b/core/zfregistry/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -19,19 +20,14 @@
 
 // Digests returns a digest of each bucket of rows. Tables that know the same of
 // all backend servers have the same digests, whatever heartbeats each has seen.
-func (t *Table) Digests() []uint64 {
-	digests := make([]uint64, bucketCount)
-	for _, row := range t.rows {
-		if row.Status == zf.ServerGone && !row.Proven {
-			continue // It is not told to those who don't know it.
-		}
-		digests[bucketOf(row.Server)] ^= row.digest()
-	}
-	return digests
-}
+func (t *Table) Digests() []uint64 { return slices.Clone(t.digests[:]) }
 
-// digest identifies what a row tells, but for times and the sequence.
+// digest identifies what a row tells, but for times and the sequence. It is 0 for
+// one that is not told to those who don't know it.
 func (r *Row) digest() uint64 {
+	if r.Status == zf.ServerGone && !r.Proven {
+		return 0
+	}
 	buffer := make([]byte, 0, 128)
 	buffer = append(buffer, r.Server...)
 	buffer = append(buffer, 0)
@@ -54,9 +50,6 @@
 	return 0
 }
 
-// buckets tells for each bucket whether it is in a set.
-type buckets [bucketCount]bool
-
 // Differing returns the rows in the buckets from first on for which another table
 // has other digests, up to a page. With the last page come the heartbeats of other
 // rows that are heard here, if beats is set.
@@ -65,47 +58,44 @@
 		From:   t.config.Self,
 		Cursor: t.revision,
 	}
-	told := t.page(digests, first, &changes)
-	for place := t.recent.Front(); place != nil; place = place.Next() {
-		switch row := place.Value.(*Row); {
-		case told[bucketOf(row.Server)]:
+	if len(digests) != bucketCount { // Of another version: all rows at once.
+		changes.Updates = t.All(now)
+		return changes
+	}
+	for bucket := max(first, 0); bucket < bucketCount; bucket++ {
+		if t.digests[bucket] == digests[bucket] {
+			continue
+		}
+		if len(changes.Updates) >= pageRows {
+			changes.More = true
+			changes.Next = bucket
+			return changes
+		}
+		changes.Buckets = append(changes.Buckets, bucket)
+		for _, row := range t.buckets[bucket] {
 			changes.Updates = append(changes.Updates, t.update(row, now))
-		case beats && !changes.More && row.hearer == t.config.Self:
-			changes.Beats = append(changes.Beats, t.beat(row, now))
 		}
 	}
+	if beats {
+		changes.Beats = t.heard(changes.Buckets, now)
+	}
 	return changes
 }
 
-// page returns the buckets to tell. It notes them in changes, with the bucket at
-// which the next page begins.
-func (t *Table) page(digests []uint64, first int, changes *Changes) buckets {
-	var told buckets
-	if len(digests) != bucketCount { // Of another version: all rows at once.
-		for bucket := range told {
-			told[bucket] = true
-		}
-		return told
-	}
-	var sizes [bucketCount]int
-	for _, row := range t.rows {
-		sizes[bucketOf(row.Server)]++
-	}
-	rows := 0
-	for bucket, digest := range t.Digests() {
-		if bucket < first || digest == digests[bucket] {
+// heard returns the heartbeats that come here, but for rows of some buckets.
+func (t *Table) heard(told []int, now time.Time) []Beat {
+	var beats []Beat
+	for bucket, rows := range t.buckets {
+		if slices.Contains(told, bucket) {
 			continue
 		}
-		if rows >= pageRows {
-			changes.More = true
-			changes.Next = bucket
-			break
+		for _, row := range rows {
+			if row.hearer == t.config.Self {
+				beats = append(beats, t.beat(row, now))
+			}
 		}
-		rows += sizes[bucket]
-		told[bucket] = true
-		changes.Buckets = append(changes.Buckets, bucket)
 	}
-	return told
+	return beats
 }
 
 // Lacking returns the rows that the sender of differing rows doesn't have, or
@@ -114,22 +104,21 @@
 	if len(changes.Buckets) == 0 {
 		return nil
 	}
-	var differs buckets
-	for _, bucket := range changes.Buckets {
-		if bucket >= 0 && bucket < bucketCount {
-			differs[bucket] = true
-		}
-	}
 	known := make(map[zf.Life]uint64, len(changes.Updates))
 	for i := range changes.Updates {
 		u := &changes.Updates[i]
 		known[zf.LifeOf(u.Server, u.Born)] = u.Sequence
 	}
 	var lacking []Update
-	for _, row := range t.Rows() {
-		sequence, ok := known[zf.LifeOf(row.Server, row.Born)]
-		if differs[bucketOf(row.Server)] && (!ok || sequence < row.Sequence) {
-			lacking = append(lacking, t.update(row, now))
+	for _, bucket := range changes.Buckets {
+		if bucket < 0 || bucket >= bucketCount {
+			continue // Of another version.
+		}
+		for _, row := range t.buckets[bucket] {
+			sequence, ok := known[zf.LifeOf(row.Server, row.Born)]
+			if !ok || sequence < row.Sequence {
+				lacking = append(lacking, t.update(row, now))
+			}
 		}
 	}
 	return lacking
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -1,6 +1,7 @@
 package zfregistry
 
 import (
+	"slices"
 	"time"
 
 	zf "zinniafront"
@@ -76,6 +77,9 @@
 		delete(t.addresses, row.Address)
 	}
 	t.recent.Remove(row.place)
+	t.digest(row, 0)
+	bucket := bucketOf(row.Server)
+	t.buckets[bucket] = slices.DeleteFunc(t.buckets[bucket], func(r *Row) bool { return r == row })
 	t.revision++
 	t.news = t.revision
 }
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -110,6 +110,8 @@
 	beat uint64
 	// place is the row's element in Table.recent.
 	place *list.Element
+	// sum is the row's part in the digest of its bucket.
+	sum uint64
 }
 
 // Table holds the backend servers.
@@ -121,6 +123,10 @@
 	// recent holds all rows by beat, so that a subscriber's changes are found
 	// without a look at the others.
 	recent *list.List
+	// buckets holds the rows by the bucket in which they are compared, digests what
+	// each bucket tells.
+	buckets [bucketCount][]*Row
+	digests [bucketCount]uint64
 	// told is when each other process told anything last.
 	told     map[Source]time.Time
 	revision uint64
@@ -207,6 +213,8 @@
 		Status:       zf.ServerGone,
 	}
 	row.place = t.recent.PushBack(row)
+	bucket := bucketOf(row.Server)
+	t.buckets[bucket] = append(t.buckets[bucket], row)
 	t.nextID++
 	t.end(t.names[a.Server], true, now)
 	t.end(t.addresses[a.Address], true, now)
@@ -240,6 +248,13 @@
 	t.news = t.revision
 	row.news = t.revision
 	t.touch(row)
+	t.digest(row, row.digest())
+}
+
+// digest replaces a row's part in the digest of its bucket.
+func (t *Table) digest(row *Row, sum uint64) {
+	t.digests[bucketOf(row.Server)] ^= row.sum ^ sum
+	row.sum = sum
 }
 
 // take updates a row by an announcement that is newer than what it holds. It
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -20,6 +20,10 @@
 	// that has gone silent is noticed after this time and fetchMargin.
 	fetchHold   = 500 * time.Millisecond
 	fetchMargin = 500 * time.Millisecond
+	// pageMargin is how long a page of backend servers may take at the start of a
+	// session: its way takes a seventh of a second on the slowest links, and after an
+	// outage all others ask too.
+	pageMargin = time.Second
 	// staleContact is how old the last contact of a control instance with a
 	// majority may be before another one is looked for.
 	staleContact = 1200 * time.Millisecond
@@ -199,10 +203,10 @@
 // fetch asks for news once and hands it on.
 func (f *Follower) fetch() {
 	known := f.config.Known(f.source == 0)
-	hold := fetchHold
+	hold, margin := fetchHold, fetchMargin
 	switch {
 	case f.source == 0:
-		hold = 0
+		hold, margin = 0, pageMargin
 	case f.stale:
 		hold = staleHold
 	}
@@ -221,7 +225,7 @@
 		Loads:    known.Loads,
 		Rows:     f.owed,
 		Hold:     hold,
-	}, hold+fetchMargin)
+	}, hold+margin)
 	f.config.Time.Update(f.config.Clock.Now().Sub(start))
 	if err != nil {
 		f.note(true, err)
