--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -73,9 +73,7 @@
 	if t.names[row.Server] == row {
 		delete(t.names, row.Server)
 	}
-	if t.addresses[row.Address] == row {
-		delete(t.addresses, row.Address)
-	}
+	t.leaveAddress(row)
 	t.recent.Remove(row.place)
 	t.digest(row, 0)
 	bucket := bucketOf(row.Server)
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -266,6 +266,7 @@
 	}
 	if a.Address != row.Address {
 		t.end(t.addresses[a.Address], true, now)
+		t.leaveAddress(row)
 		t.addresses[a.Address] = row
 	}
 	moved := row.differs(a) || !near(coldUntil, row.ColdUntil)
@@ -282,6 +283,13 @@
 	return false
 }
 
+// leaveAddress notes that a row no longer has its address.
+func (t *Table) leaveAddress(row *Row) {
+	if t.addresses[row.Address] == row {
+		delete(t.addresses, row.Address)
+	}
+}
+
 func near(a, b time.Time) bool {
 	if a.IsZero() || b.IsZero() {
 		return a.IsZero() == b.IsZero()
--- a/core/zfregistry/table_test.go
+++ b/core/zfregistry/table_test.go
@@ -137,6 +137,14 @@
 		table.Tick(start.Add(2*time.Minute), start)
 		zfassert.Equal(t, "rows", len(table.Rows()), 0)
 	})
+	t.Run("an address that a backend server has left is free", func(t *testing.T) {
+		table := newTable()
+		table.Announce(beat("a", born.Add(time.Minute), 1), start)
+		moved := beat("a", born.Add(time.Minute), 2)
+		moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+		table.Announce(moved, start)
+		zfassert.Equal(t, "reason", table.Announce(beat("b", born, 1), start), zf.ReasonNone)
+	})
 	t.Run("a last word without a birth is for the latest life", func(t *testing.T) {
 		table := newTable()
 		table.Announce(beat("a", born, 1), start)
