--- a/core/zfcookie/load.go
+++ b/core/zfcookie/load.go
@@ -77,10 +77,10 @@
 	l.fresh.Add(openingRequests)
 }
 
-// share takes the load of all instances.
+// share takes the load of all instances, which lacks what was not told yet.
 func (l *load) share(requests int) {
 	l.shared.Store(int64(requests) * unit)
-	l.fresh.Store(0)
+	l.fresh.Store(l.untold.Load())
 }
 
 func (l *load) decay() {
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -117,24 +117,18 @@
 }
 
 // Merge takes what another instance told, in the order in which it changed there.
-// An entry instance that tells is no source. It returns the number of beats of
-// backend servers that are not known here.
-func (t *Table) Merge(changes Changes, now time.Time) int {
+// An entry instance that tells is no source.
+func (t *Table) Merge(changes Changes, now time.Time) {
 	if changes.From != 0 {
 		t.told[changes.From] = now
 	}
 	for i := range changes.Updates {
 		t.merge(&changes.Updates[i], changes.From, now)
 	}
-	unknown := 0
 	for _, beat := range changes.Beats {
 		row := t.rows[zf.LifeOf(beat.Server, beat.Born)]
-		if row == nil {
-			unknown++
-			continue
-		}
-		if beat.Sequence <= row.Sequence || row.Proven {
-			continue
+		if row == nil || beat.Sequence <= row.Sequence || row.Proven {
+			continue // One that is not known has been forgotten here.
 		}
 		a := row.Announcement
 		a.Sequence = beat.Sequence
@@ -143,7 +137,6 @@
 		row.Heard = now.Add(-beat.Age)
 		row.hearer = changes.From
 	}
-	return unknown
 }
 
 func (t *Table) merge(u *Update, from Source, now time.Time) {
