--- a/lab/zfsoak/process.go
+++ b/lab/zfsoak/process.go
@@ -48,7 +48,7 @@
 	first   bool
 	stopped bool
 	command *exec.Cmd
-	exits   int
+	count   int
 	done    sync.WaitGroup
 }
 
@@ -142,13 +142,20 @@
 	if m.stopped {
 		return false
 	}
-	m.exits++
+	m.count++
 	m.command = exec.Command(m.binary, "serve", "--settings", m.settingsPath())
 	m.command.Stdout = log
 	m.command.Stderr = log
 	return m.command.Start() == nil
 }
 
+// starts returns how often a process was started.
+func (m *machine) starts() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.count
+}
+
 // signal sends a signal to the process that runs now.
 func (m *machine) signal(signal syscall.Signal) {
 	m.mutex.Lock()
--- a/lab/zfsoak/soak.go
+++ b/lab/zfsoak/soak.go
@@ -339,7 +339,7 @@
 
 func (s *soak) finish() Report {
 	for _, m := range append(s.controls, s.entries...) {
-		s.check.report.Starts += m.exits
+		s.check.report.Starts += m.starts()
 	}
 	for name, lives := range s.check.hosts {
 		for _, h := range lives {
