A request that acknowledges the answer before it clears misses

Cause: only packets without data counted as acknowledgements. Callers that send one request after the other acknowledge with the next request, so that a backend server which answered late twice, any time apart, kept two misses; with its heartbeats overdue it passed for dead and its flows were reset. Test: TestLostServer, 'a request that acknowledges the answer before it keeps it', fails before, passes after.

--- a/core/zfcookie/attempt.go
+++ b/core/zfcookie/attempt.go
@@ -67,7 +67,8 @@
 }
 
 // send notes a packet with data. It reports whether the packet repeats the one
-// before, and whether it shows that an opening packet was answered.
+// before, and whether it shows that the opening packet or the request before it was
+// answered.
 func (a *attempts) send(hash uint64, l *load, packet zf.Packet, now time.Time) (repeated, answered bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -79,8 +80,7 @@
 		}
 	} else {
 		repeated = !row.opening && row.sequence == packet.Sequence
-		answered = row.opening
-		row.advance(packet.Acknowledged)
+		answered = row.advance(packet.Acknowledged) || row.opening
 	}
 	row.opening = false
 	row.sequence = packet.Sequence
@@ -112,16 +112,18 @@
 	a.mutex.Unlock()
 }
 
-// advance counts the request as answered if the caller has got more since.
-func (r *attempt) advance(acknowledged uint32) {
+// advance counts the request as answered, and reports that, if the caller has got
+// more since.
+func (r *attempt) advance(acknowledged uint32) bool {
 	if r.asked == 0 || int32(acknowledged-r.acknowledged) <= 0 {
-		return
+		return false
 	}
 	if !r.overdue {
 		r.load.done.Add(1)
 	}
 	r.asked = 0
 	r.overdue = false
+	return true
 }
 
 // fail counts the request as unanswered.
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -178,6 +178,8 @@
 		// pause is the time between two repetitions.
 		pause  time.Duration
 		answer bool
+		// next has the same flow send a request that acknowledges the answer.
+		next bool
 		// suspend is how long the instance stands still before it looks again.
 		suspend time.Duration
 		action  zf.Action
@@ -230,6 +232,14 @@
 			answer: true,
 			action: zf.ActionForward,
 		},
+		{
+			name:   "a request that acknowledges the answer before it keeps it",
+			server: late,
+			repeat: 2,
+			pause:  200 * time.Millisecond,
+			next:   true,
+			action: zf.ActionForward,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			mapper := newMapper(view(c.server))
@@ -249,6 +259,11 @@
 					Cookie: cookie,
 				}, now)
 			}
+			if c.next {
+				next := data(1, cookie, 107)
+				next.Acknowledged = 50
+				mapper.Route(next, now)
+			}
 			zfassert.Equal(t, "action", mapper.Route(data(3, cookie, 1), now).Action, c.action)
 		})
 	}
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -81,10 +81,10 @@
 	s.load.request()
 	repeated, answered := m.attempts.send(hash, s.load, packet, now)
 	switch {
-	case repeated:
-		s.load.missed(now)
 	case answered:
 		s.load.answered()
+	case repeated:
+		s.load.missed(now)
 	}
 }
 
