A backend server is taken for dead after 0.4 s without any answer

Test: TestLostServer, 'answers that may only be late end no flow', fails before, passes after. Conclusion: heartbeats are overdue 1.7 s after a backend server died at the earliest, so that real losses have been unanswered for longer than that anyway.

--- a/core/zfcookie/load.go
+++ b/core/zfcookie/load.go
@@ -55,9 +55,10 @@
 	// backend server that sends no heartbeats either is taken for dead; packets
 	// get lost one at a time.
 	lostMisses = 2
-	// lostTime is how long the first of them has to be over: an instance that was
-	// suspended finds packets and their repetitions at once, all of them answered.
-	lostTime = 150 * time.Millisecond
+	// lostTime is how long the first of them has to be over without any answer: a
+	// busy machine answers late, and an instance that was suspended finds packets and
+	// their repetitions at once, all of them answered.
+	lostTime = overdueAfter
 	// toldAgain is how often the counts of a backend server are told after a
 	// request to it went unanswered: for some five seconds.
 	toldAgain = 10
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -209,6 +209,13 @@
 			repeat: 5,
 			action: zf.ActionForward,
 		},
+		{
+			name:   "answers that may only be late end no flow",
+			server: late,
+			repeat: 2,
+			pause:  150 * time.Millisecond,
+			action: zf.ActionForward,
+		},
 		{
 			name:   "both end it",
 			server: late,
