Entry instances take turns to stop

Restarts two at a time left none of four entry instances ready; the fabric then sends packets to all of them, and those to the ones that were down were lost for 0.6 s. Change: an instance that is asked to stop stays ready until half of its data centre's instances are ready without it. The control instance that it follows gives the turns (core/zfturn). It forwards on for 1.25 s after that, not 1.7 s: two failed checks take a second. Conclusion: what is left are restarts of three at a time, for which the bound is too short.

--- /dev/null
+++ b/core/zfforward/stop_test.go
@@ -0,0 +1,73 @@
+package zfforward_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniafront/core/zfforward"
+	"zinniafront/lab/zfassert"
+)
+
+// readyWorld returns a world that takes traffic.
+func readyWorld() *zfforward.World {
+	world := newWorld()
+	world.Learn(zfforward.News{
+		Changes: servers("one"),
+		State:   state(1, "orders"),
+	}, start)
+	return world
+}
+
+func assertStopping(t testing.TB, world *zfforward.World, want bool) {
+	t.Helper()
+	zfassert.Equal(t, "stopping", world.Stopping(), want)
+	zfassert.Equal(t, "ready", world.Ready(), !want)
+}
+
+func TestStop(t *testing.T) {
+	const wait = 3 * time.Second
+	// listen has the instance hear news each half second, the last time after d.
+	listen := func(world *zfforward.World, d time.Duration, last zfforward.News) {
+		for after := 500 * time.Millisecond; after < d; after += 500 * time.Millisecond {
+			world.Learn(zfforward.News{}, start.Add(after))
+			world.Tick(start.Add(after))
+		}
+		world.Learn(last, start.Add(d))
+		world.Tick(start.Add(d))
+	}
+	t.Run("an instance stays ready until it has its turn", func(t *testing.T) {
+		world := readyWorld()
+		world.Stop(wait, start)
+		assertStopping(t, world, false)
+		listen(world, time.Second, zfforward.News{})
+		assertStopping(t, world, false)
+		listen(world, 2*time.Second, zfforward.News{
+			Turn: true,
+		})
+		assertStopping(t, world, true)
+	})
+	t.Run("for a while only", func(t *testing.T) {
+		world := readyWorld()
+		world.Stop(wait, start)
+		listen(world, wait, zfforward.News{})
+		assertStopping(t, world, true)
+	})
+	t.Run("not where nobody can give it a turn", func(t *testing.T) {
+		world := readyWorld()
+		world.Stop(wait, start)
+		world.Tick(start.Add(1200 * time.Millisecond))
+		assertStopping(t, world, true)
+	})
+	t.Run("nor where it takes no traffic anyway", func(t *testing.T) {
+		world := newWorld()
+		world.Stop(wait, start)
+		assertStopping(t, world, true)
+	})
+	t.Run("a turn that was not asked for stops nothing", func(t *testing.T) {
+		world := readyWorld()
+		listen(world, time.Second, zfforward.News{
+			Turn: true,
+		})
+		assertStopping(t, world, false)
+	})
+}
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -51,6 +51,8 @@
 	Changes zfregistry.Changes
 	// Loads are those of all entry instances of the data centre, or nil.
 	Loads []zf.ServerLoad
+	// Turn tells that it is this instance's turn to stop.
+	Turn bool
 	// State is nil where it is the same as before.
 	State *State
 }
@@ -74,7 +76,7 @@
 	entries int
 	// returned is when each data centre was last brought back.
 	returned map[zf.CentreName]time.Time
-	stopping bool
+	stop     planned
 	// loadsTold is when the requests to backend servers were last told.
 	loadsTold time.Time
 	seen      revisions
@@ -151,6 +153,7 @@
 		w.enforce(*news.State, now)
 	}
 	w.informed = w.informed || !news.Changes.More
+	w.stop.begun = w.stop.begun || w.stop.asked && news.Turn
 	w.publish(now)
 	return changed
 }
@@ -172,13 +175,9 @@
 	}
 }
 
-// Stop begins a planned stop: the instance is no longer ready, and goes on
-// forwarding.
-func (w *World) Stop() { w.stopping = true }
-
 // Ready reports whether the instance may get traffic.
 func (w *World) Ready() bool {
-	return !w.stopping && !w.isolated && w.informed && w.state.Bundle != nil && w.config.Mapper.Synced()
+	return !w.stop.begun && !w.isolated && w.informed && w.state.Bundle != nil && w.config.Mapper.Synced()
 }
 
 // Isolated reports whether no other instance has told anything lately, though
@@ -189,6 +188,7 @@
 func (w *World) Tick(now time.Time) {
 	w.isolated = w.informed && w.peers && now.Sub(w.heard) >= isolatedAfter
 	w.registry.Tick(now, time.Time{})
+	w.waitTurn(now)
 	w.publish(now)
 }
 
--- a/core/zfforward/world_test.go
+++ b/core/zfforward/world_test.go
@@ -117,7 +117,7 @@
 		assertOpening(t, world, zf.ActionForward)
 	})
 	t.Run("not while it stops, though it forwards on", func(t *testing.T) {
-		world.Stop()
+		world.Stop(0, start)
 		zfassert.True(t, "not ready", !world.Ready())
 		assertOpening(t, world, zf.ActionForward)
 	})
--- a/core/zfkeeper/world.go
+++ b/core/zfkeeper/world.go
@@ -18,6 +18,7 @@
 	"zinniafront/core/zfoutlier"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfturn"
 )
 
 // ErrUnavailable tells that the control state can't be read or changed here now.
@@ -85,6 +86,7 @@
 	registry *zfregistry.Table
 	outliers *zfoutlier.Table
 	loads    *zfload.Table
+	turns    *zfturn.Table
 	judged   time.Time
 	verdicts []zfoutlier.Verdict
 	machine  *zfcontrol.Machine
@@ -106,6 +108,7 @@
 		registry: zfregistry.New(config.Registry),
 		outliers: zfoutlier.New(config.Outlier),
 		loads:    zfload.New(),
+		turns:    zfturn.New(),
 
 		neighbours: make(map[netip.AddrPort]time.Time),
 	}
@@ -117,6 +120,9 @@
 // Loads returns the loads of backend servers as entry instances tell them.
 func (w *World) Loads() *zfload.Table { return w.loads }
 
+// Turns returns the turns of entry instances to stop.
+func (w *World) Turns() *zfturn.Table { return w.turns }
+
 // Registry returns the table of backend servers.
 func (w *World) Registry() *zfregistry.Table { return w.registry }
 
@@ -153,6 +159,7 @@
 	w.replica.Tick(now)
 	w.watch(now)
 	w.registry.Tick(now, w.hearing)
+	w.turns.Tick(now)
 	w.judge(now)
 	w.serve(now)
 }
--- /dev/null
+++ b/core/zfturn/table.go
@@ -0,0 +1,95 @@
+// Package zfturn gives entry instances their turns to stop. Its table has a row for
+// each entry instance that tells a control instance of itself. Planned stops may come
+// in quick series; a fabric that finds fewer than half of a data centre's instances
+// ready sends packets to all of them, also to those that are down.
+package zfturn
+
+import (
+	"time"
+
+	zf "zinniafront"
+)
+
+const (
+	// freshTime is how old the word of an instance may be that counts as ready: it
+	// tells each half second, and once more may get lost.
+	freshTime = 1500 * time.Millisecond
+	// keepTime is how long an instance that tells nothing counts as one that will be
+	// back; a restart takes some three seconds.
+	keepTime = 10 * time.Second
+)
+
+// Word is what an entry instance tells of itself.
+type Word struct {
+	Instance zf.InstanceName
+	Centre   zf.CentreName
+	// Ready tells that it takes traffic.
+	Ready bool
+	// Stopping tells that it was asked to stop.
+	Stopping bool
+}
+
+type row struct {
+	Word
+	heard time.Time
+	// granted tells that the instance may stop, and no longer counts as ready.
+	granted bool
+}
+
+// Table holds the entry instances.
+type Table struct {
+	rows map[zf.InstanceName]*row
+}
+
+// New returns a table without rows.
+func New() *Table {
+	return &Table{
+		rows: make(map[zf.InstanceName]*row),
+	}
+}
+
+// Note takes the word of an instance. One that is not stopping has not had its turn,
+// or is back from it.
+func (t *Table) Note(word Word, now time.Time) {
+	r := t.rows[word.Instance]
+	if r == nil {
+		r = &row{}
+		t.rows[word.Instance] = r
+	}
+	r.Word = word
+	r.heard = now
+	r.granted = r.granted && word.Stopping
+}
+
+// Tick forgets instances that have told nothing for long.
+func (t *Table) Tick(now time.Time) {
+	for name, r := range t.rows {
+		if now.Sub(r.heard) >= keepTime {
+			delete(t.rows, name)
+		}
+	}
+}
+
+// Take reports whether it is an instance's turn to stop: half of its data centre's
+// instances are ready without it, or there are no others to wait for.
+func (t *Table) Take(name zf.InstanceName, now time.Time) bool {
+	r := t.rows[name]
+	if r == nil || !r.Stopping {
+		return false
+	}
+	if r.granted {
+		return true
+	}
+	total, ready := 1, 0
+	for _, other := range t.rows {
+		if other == r || other.Centre != r.Centre {
+			continue
+		}
+		total++
+		if other.Ready && !other.granted && now.Sub(other.heard) < freshTime {
+			ready++
+		}
+	}
+	r.granted = total == 1 || 2*ready >= total
+	return r.granted
+}
--- /dev/null
+++ b/core/zfturn/table_test.go
@@ -0,0 +1,93 @@
+package zfturn_test
+
+import (
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfturn"
+	"zinniafront/lab/zfassert"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// word returns what a ready instance of the first data centre tells.
+func word(name zf.InstanceName) zfturn.Word {
+	return zfturn.Word{
+		Instance: name,
+		Centre:   "one",
+		Ready:    true,
+	}
+}
+
+// stopping returns what it tells once it was asked to stop.
+func stopping(name zf.InstanceName) zfturn.Word {
+	w := word(name)
+	w.Stopping = true
+	return w
+}
+
+func newTable(words ...zfturn.Word) *zfturn.Table {
+	table := zfturn.New()
+	for _, w := range words {
+		table.Note(w, start)
+	}
+	return table
+}
+
+func assertTurn(t testing.TB, table *zfturn.Table, name zf.InstanceName, now time.Time, want bool) {
+	t.Helper()
+	zfassert.Equal(t, "turn of "+string(name), table.Take(name, now), want)
+}
+
+func TestTurns(t *testing.T) {
+	t.Run("half of a data centre may stop at once", func(t *testing.T) {
+		table := newTable(stopping("e1"), stopping("e2"), stopping("e3"), word("e4"))
+		assertTurn(t, table, "e1", start, true)
+		assertTurn(t, table, "e2", start, true)
+		assertTurn(t, table, "e3", start, false)
+	})
+	t.Run("of three only one", func(t *testing.T) {
+		table := newTable(stopping("e1"), stopping("e2"), word("e3"))
+		assertTurn(t, table, "e1", start, true)
+		assertTurn(t, table, "e2", start, false)
+	})
+	t.Run("a turn that was given stays given", func(t *testing.T) {
+		table := newTable(stopping("e1"), word("e2"))
+		assertTurn(t, table, "e1", start, true)
+		table.Note(stopping("e2"), start)
+		assertTurn(t, table, "e1", start, true)
+	})
+	t.Run("the next turn comes when an instance is back and ready", func(t *testing.T) {
+		table := newTable(stopping("e1"), stopping("e2"))
+		assertTurn(t, table, "e1", start, true)
+		starting := word("e1")
+		starting.Ready = false
+		table.Note(starting, start)
+		assertTurn(t, table, "e2", start, false)
+		table.Note(word("e1"), start)
+		assertTurn(t, table, "e2", start, true)
+	})
+	t.Run("one that tells nothing any more is not ready", func(t *testing.T) {
+		table := newTable(stopping("e1"), word("e2"))
+		assertTurn(t, table, "e1", start.Add(2*time.Second), false)
+	})
+	t.Run("and is not waited for for ever", func(t *testing.T) {
+		table := newTable(word("e2"))
+		later := start.Add(10 * time.Second)
+		table.Note(stopping("e1"), later)
+		assertTurn(t, table, "e1", later, false)
+		table.Tick(later)
+		assertTurn(t, table, "e1", later, true)
+	})
+	t.Run("other data centres don't count", func(t *testing.T) {
+		distant := word("e2")
+		distant.Centre = "two"
+		assertTurn(t, newTable(stopping("e1"), distant), "e1", start, true)
+	})
+	t.Run("who was not asked to stop has no turn", func(t *testing.T) {
+		table := newTable(word("e1"), word("e2"))
+		assertTurn(t, table, "e1", start, false)
+		assertTurn(t, table, "e3", start, false)
+	})
+}
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -28,9 +28,28 @@
 	// lameDuck is how long an instance forwards on after it stopped being
 	// ready: two failed checks half a second apart take it out of the rotation,
 	// and packets on their way arrive.
-	lameDuck = 1700 * time.Millisecond
+	lameDuck = 1250 * time.Millisecond
+	// stopSlack is left of the time that a planned stop may take when the instance has
+	// waited for its turn as long as it may: signals and timers come late.
+	stopSlack = 800 * time.Millisecond
+	// checkSlack is the pause between two readiness checks: the platform's bound allows
+	// for those that take an instance out of the rotation, but not for a late one.
+	checkSlack = 500 * time.Millisecond
 )
 
+// turnWait returns how long an instance may wait for its turn to stop, when a planned
+// stop may take most.
+func turnWait(most time.Duration, platform zfdocument.Platform) time.Duration {
+	if platform.Grace > 0 {
+		most = min(most, platform.Grace)
+	}
+	wait := most - lameDuck - stopSlack
+	if platform.Drain > 0 {
+		wait = min(wait, platform.Drain-checkSlack)
+	}
+	return max(wait, 0)
+}
+
 func forwardModule() fx.Option {
 	return fx.Module("forward",
 		fx.Provide(newForwardLoop, newForwardTraffic, newReadyServer, newForwardServer),
@@ -93,6 +112,7 @@
 	fx.In
 
 	Settings *zfdocument.Settings
+	Drain    drainTime
 	Factory  *zfcmd.Factory
 	Logger   *zfevent.Logger
 	Counters *zfcounter.Set
@@ -128,7 +148,7 @@
 			p.Traffic.Start()
 		},
 		func() error {
-			p.Loop.Stop()
+			p.Loop.Stop(turnWait(time.Duration(p.Drain), p.Settings.Platform))
 			duck, release := p.Factory.Clock.After(lameDuck)
 			defer release()
 			<-duck
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -29,6 +29,8 @@
 	// Loads returns the loads of backend servers that followers tell here, and those
 	// that other control instances tell too if all is set.
 	Loads(all bool, now time.Time) []zf.ServerLoad
+	// Turn reports whether it is the turn of an entry instance that was asked to stop.
+	Turn(instance zf.InstanceName, now time.Time) bool
 	// Controls returns the control instances that are there.
 	Controls(now time.Time) []zfquorum.Node
 }
@@ -179,7 +181,8 @@
 			latest = revision
 		}
 		changed := latest > w.args.Cursor && !now.Before(w.from)
-		fresh := !f.Known(w.args) || w.args.More || changed || !w.args.Control && index > w.args.Index
+		fresh := !f.Known(w.args) || w.args.More || changed || !w.args.Control && index > w.args.Index ||
+			f.turn(w.args, now)
 		if !fresh && now.Before(w.until) {
 			return false
 		}
@@ -200,6 +203,7 @@
 		Controls: f.config.Source.Controls(now),
 		Peers:    f.peers(args, now),
 		Entries:  f.entries(!args.Control, now),
+		Turn:     f.turn(args, now),
 	}
 	if f.config.Peers && args.Centre == f.config.Centre && (args.Control || args.Loads != nil) {
 		reply.Loads = f.config.Source.Loads(!args.Control, now)
@@ -211,6 +215,11 @@
 	return reply
 }
 
+// turn reports whether the asker waits for its turn to stop, and has it.
+func (f *Feed) turn(args FetchArgs, now time.Time) bool {
+	return args.Stopping && f.config.Source.Turn(args.Instance, now)
+}
+
 // changes returns the backend servers that are news for a fetch.
 func (f *Feed) changes(args FetchArgs, gathered map[uint64]zfregistry.Changes, now time.Time) zfregistry.Changes {
 	switch {
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -21,6 +21,7 @@
 	published zfcluster.Published
 	contact   time.Duration
 	loads     []zf.ServerLoad
+	turn      bool
 }
 
 func newState() *state {
@@ -52,6 +53,8 @@
 	return s.loads[:min(len(s.loads), 1)]
 }
 
+func (s *state) Turn(zf.InstanceName, time.Time) bool { return s.turn }
+
 func (s *state) Controls(time.Time) []zfquorum.Node { return nil }
 
 func (s *state) announce(sequence uint64) {
@@ -123,6 +126,15 @@
 		s.announce(2)
 		assertHeld(t, feed, args)
 	})
+	t.Run("one that asks for a turn to stop is answered when it comes", func(t *testing.T) {
+		stopping := args
+		stopping.Stopping = true
+		assertHeld(t, feed, stopping)
+		s.turn = true
+		defer func() { s.turn = false }()
+		zfassert.True(t, "turn", assertAnswered(t, feed, stopping).Turn)
+		assertHeld(t, feed, args)
+	})
 	t.Run("it ends when it has been held for long", func(t *testing.T) {
 		reply := make(chan zfcluster.FetchReply, 1)
 		feed.Add(args, reply, start)
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -66,6 +66,10 @@
 	Outcomes []zf.Outcome
 	// Loads are the requests to backend servers since they were last told, or nil.
 	Loads []zf.ServerLoad
+	// Ready tells that this instance takes traffic, Stopping that it waits for its turn
+	// to stop.
+	Ready    bool
+	Stopping bool
 }
 
 // Follower has one control instance tell the news, and turns to another when
@@ -224,6 +228,8 @@
 		Outcomes: known.Outcomes,
 		Loads:    known.Loads,
 		Rows:     f.owed,
+		Ready:    known.Ready,
+		Stopping: known.Stopping,
 		Hold:     hold,
 	}, hold+margin)
 	f.config.Time.Update(f.config.Clock.Now().Sub(start))
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -82,6 +82,10 @@
 	// Loads are the requests to backend servers since they were last told. The answer
 	// to a fetch that tells them has those of the data centre.
 	Loads []zf.ServerLoad
+	// Ready tells that the asker takes traffic, Stopping that it was asked to stop and
+	// wants to know when it is its turn.
+	Ready    bool
+	Stopping bool
 	// Hold is how long the answer may be held back while there is no news.
 	Hold time.Duration
 }
@@ -106,6 +110,8 @@
 	// Loads are those of the data centre; to a control instance of the same one, what
 	// the answering one's own followers tell.
 	Loads []zf.ServerLoad
+	// Turn tells an asker that was asked to stop that it is its turn.
+	Turn bool
 	// Entries is the number of entry instances, as far as they are known; to a
 	// control instance that of the answering one's own followers.
 	Entries int
--- a/io/zfdocument/settings.go
+++ b/io/zfdocument/settings.go
@@ -68,6 +68,12 @@
 	Losses int
 	// Interval is the time between two heartbeats of a backend server.
 	Interval time.Duration
+	// Grace is the time after which the platform kills a process that it has asked to
+	// stop, or 0 if it doesn't.
+	Grace time.Duration
+	// Drain is the time within which an instance that was asked to stop is to leave the
+	// rotation, or 0 if there is no such bound.
+	Drain time.Duration
 	// Modes are the variants of the platform by what varies.
 	Modes map[string]string
 }
@@ -141,6 +147,8 @@
 	First    bool              `json:"first"`
 	Losses   int               `json:"losses"`
 	Interval *duration         `json:"interval"`
+	Grace    *duration         `json:"grace"`
+	Drain    *duration         `json:"drain"`
 	Modes    map[string]string `json:"modes"`
 }
 
@@ -215,6 +223,8 @@
 			First:    d.Platform.First,
 			Losses:   d.Platform.Losses,
 			Interval: durationOr(d.Platform.Interval, defaultInterval),
+			Grace:    durationOr(d.Platform.Grace, 0),
+			Drain:    durationOr(d.Platform.Drain, 0),
 			Modes:    d.Platform.Modes,
 		},
 	}
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -36,6 +36,7 @@
 	StateRefused   = add(2005, "control state refused", log.WarnLevel)
 	ControlLost    = add(2009, "control instance not reached", log.WarnLevel)
 	ControlFound   = add(2010, "control instance reached", log.InfoLevel)
+	StopBegun      = add(2011, "planned stop begun", log.InfoLevel)
 )
 
 // The events of a control instance.
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -53,6 +53,9 @@
 // Loads implements zfcluster.Source; entry instances add no loads up.
 func (l *Loop) Loads(bool, time.Time) []zf.ServerLoad { return nil }
 
+// Turn implements zfcluster.Source; without a control instance nobody is waited for.
+func (l *Loop) Turn(zf.InstanceName, time.Time) bool { return true }
+
 // Controls implements zfcluster.Source.
 func (l *Loop) Controls(time.Time) []zfquorum.Node { return l.told.controls }
 
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -38,8 +38,10 @@
 	config Config
 	inbox  chan func(now time.Time)
 	done   chan struct{}
-	feed   *zfcluster.Feed
-	told   told
+	// stopping is closed when a planned stop has begun.
+	stopping chan struct{}
+	feed     *zfcluster.Feed
+	told     told
 	// ready and index are what other goroutines read of the world.
 	ready atomic.Bool
 	index atomic.Uint64
@@ -50,6 +52,8 @@
 	// shown and seen are what was logged last of the backend servers.
 	shown map[zf.ServerID]shown
 	seen  uint64
+	// stopped tells that stopping is closed.
+	stopped bool
 }
 
 // decoded is the last document that was read, kept since a document comes again
@@ -71,7 +75,10 @@
 		config: config,
 		inbox:  make(chan func(now time.Time), inboxEvents),
 		done:   make(chan struct{}),
-		shown:  make(map[zf.ServerID]shown),
+
+		stopping: make(chan struct{}),
+
+		shown: make(map[zf.ServerID]shown),
 	}
 	l.feed = zfcluster.NewFeed(zfcluster.FeedConfig{
 		ID:     config.Source,
@@ -138,10 +145,16 @@
 // Ready reports whether the instance may get traffic.
 func (l *Loop) Ready() bool { return l.ready.Load() }
 
-// Stop begins a planned stop: the instance is no longer ready.
-func (l *Loop) Stop() {
-	l.ready.Store(false)
-	l.put(func(time.Time) { l.config.World.Stop() })
+// Stop begins a planned stop and returns once the instance is no longer ready: when
+// it is its turn, or after wait.
+func (l *Loop) Stop(wait time.Duration) {
+	start := l.config.Clock.Now()
+	l.put(func(now time.Time) { l.config.World.Stop(wait, now) })
+	select {
+	case <-l.stopping:
+	case <-l.done:
+	}
+	l.config.Logger.Entry(zfevent.StopBegun).Dur("waited", l.config.Clock.Now().Sub(start)).Dur("most", wait).Msg("")
 }
 
 // Known returns what a fetch tells, the first one of a session if first is set.
@@ -150,6 +163,8 @@
 		Index: l.index.Load(),
 	}
 	l.do(func(now time.Time) {
+		known.Ready = l.config.World.Ready()
+		known.Stopping = l.config.World.StopAsked()
 		known.Outcomes = l.config.World.Outcomes()
 		known.Loads = l.config.World.Loads(now)
 		if first {
@@ -167,6 +182,7 @@
 		Peers:   len(reply.Peers) > 0,
 		Entries: reply.Entries,
 		Loads:   reply.Loads,
+		Turn:    reply.Turn,
 	}
 	if reply.Index > l.index.Load() {
 		state, err := l.state(reply)
@@ -234,6 +250,10 @@
 		l.ready.Store(ready)
 		l.config.Logger.Entry(zfevent.ReadyChanged).Bool("ready", ready).Bool("isolated", world.Isolated()).Msg("")
 	}
+	if world.Stopping() && !l.stopped {
+		l.stopped = true
+		close(l.stopping)
+	}
 	if world.Registry().News() == l.seen {
 		return
 	}
--- a/io/zfkeeperloop/feed.go
+++ b/io/zfkeeperloop/feed.go
@@ -7,6 +7,7 @@
 	"zinniafront/core/zfkeeper"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfturn"
 	"zinniafront/io/zfcluster"
 )
 
@@ -54,6 +55,11 @@
 	return s.world.Loads().Own(now)
 }
 
+// Turn implements zfcluster.Source.
+func (s source) Turn(instance zf.InstanceName, now time.Time) bool {
+	return s.world.Turns().Take(instance, now)
+}
+
 // Controls implements zfcluster.Source.
 func (s source) Controls(now time.Time) []zfquorum.Node { return s.world.Replica().Nodes(now) }
 
@@ -66,6 +72,14 @@
 		}, now)
 		l.config.World.Note(args.Outcomes, now)
 		l.config.World.Loads().Note(args.Loads, now)
+		if !args.Control {
+			l.config.World.Turns().Note(zfturn.Word{
+				Instance: args.Instance,
+				Centre:   args.Centre,
+				Ready:    args.Ready,
+				Stopping: args.Stopping,
+			}, now)
+		}
 		l.feed.Add(args, reply, now)
 	}) {
 		return zfcluster.FetchReply{}, ErrStopped
