A soak run that can't start tells why and leaves no process behind

Cause: with an address already in use the run closed a proxy that it did not have, and panicked before the other runs had ended their processes. Test: TestTaken panics before, passes after.

--- a/lab/zfsoak/process_test.go
+++ b/lab/zfsoak/process_test.go
@@ -1,12 +1,28 @@
 package zfsoak
 
 import (
+	"net"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"zinniafront/lab/zfassert"
 )
 
+// TestTaken plays a run whose addresses another one holds.
+func TestTaken(t *testing.T) {
+	holder, err := net.Listen("tcp", "127.78.255.1:"+strconv.Itoa(clusterPort))
+	zfassert.NoError(t, err)
+	defer holder.Close()
+	_, err = Run(Config{
+		Binary: "/bin/true",
+		Folder: t.TempDir(),
+		Slot:   255,
+	})
+	zfassert.True(t, "an error that names the address", err != nil && strings.Contains(err.Error(), "127.78.255.1"))
+}
+
 // TestStarts reads the number of starts while a process that ends by itself is
 // started again and again, as one may be when a run is over.
 func TestStarts(t *testing.T) {
--- a/lab/zfsoak/soak.go
+++ b/lab/zfsoak/soak.go
@@ -79,6 +79,8 @@
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
+		close(s.stop)
+		s.running.Wait()
 		return s.check.report, err
 	}
 	s.progress("started")
@@ -354,7 +356,9 @@
 func (s *soak) close() {
 	for _, m := range append(s.controls, s.entries...) {
 		m.stop()
-		m.proxy.close()
+		if m.proxy != nil {
+			m.proxy.close()
+		}
 	}
 	for _, h := range s.hosts {
 		if !h.Ended() {
