Callers of dead backend servers hear that their flows ended

Change: once a backend server is taken for dead, by the same evidence as before, the flows in the table of attempts that were used in the last 12 s are reset at once.

--- a/core/zfcookie/attempt.go
+++ b/core/zfcookie/attempt.go
@@ -17,6 +17,9 @@
 	// mostGap is the time between two looks at the table after which this instance
 	// was suspended, and answers are not late but not seen.
 	mostGap = 5 * decayEvery
+	// idleTime is the time without a request after which a flow may have ended unseen;
+	// backend servers close idle flows after 12 to 15 seconds.
+	idleTime = 12 * time.Second
 )
 
 // attempts remembers the latest packets that ask for an answer, to see which of
@@ -30,8 +33,13 @@
 // attempt is the last packet of a flow that asked for an answer.
 type attempt struct {
 	hash uint64
+	flow zf.Flow
 	// load is that of the backend server that got the packet.
 	load *load
+	// seen is when the flow's last packet with data came, in Unix nanoseconds, latest
+	// what its caller acknowledged last.
+	seen   int64
+	latest uint32
 	// opening tells an opening packet from one with data, sequence is that of
 	// the latter.
 	opening  bool
@@ -45,10 +53,11 @@
 }
 
 // open notes an opening packet.
-func (a *attempts) open(hash uint64, l *load) {
+func (a *attempts) open(hash uint64, l *load, flow *zf.Flow) {
 	a.mutex.Lock()
 	a.rows[hash%attemptRows] = attempt{
 		hash:    hash,
+		flow:    *flow,
 		load:    l,
 		opening: true,
 	}
@@ -69,13 +78,14 @@
 // send notes a packet with data. It reports whether the packet repeats the one
 // before, and whether it shows that the opening packet or the request before it was
 // answered.
-func (a *attempts) send(hash uint64, l *load, packet zf.Packet, now time.Time) (repeated, answered bool) {
+func (a *attempts) send(hash uint64, l *load, packet *zf.Packet, now time.Time) (repeated, answered bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	row := &a.rows[hash%attemptRows]
 	if row.hash != hash || row.load != l {
 		*row = attempt{
 			hash: hash,
+			flow: packet.Flow,
 			load: l,
 		}
 	} else {
@@ -84,8 +94,10 @@
 	}
 	row.opening = false
 	row.sequence = packet.Sequence
+	row.seen = now.UnixNano()
+	row.latest = packet.Acknowledged
 	if row.asked == 0 && !repeated {
-		row.asked = now.UnixNano()
+		row.asked = row.seen
 		row.acknowledged = packet.Acknowledged
 	}
 	return repeated, answered
@@ -97,6 +109,7 @@
 	a.mutex.Lock()
 	if row := &a.rows[hash%attemptRows]; row.hash == hash && row.load == l {
 		row.advance(acknowledged)
+		row.latest = acknowledged
 	}
 	a.mutex.Unlock()
 }
@@ -112,6 +125,27 @@
 	a.mutex.Unlock()
 }
 
+// take returns the last packets of open flows of some backend servers that were used
+// lately, and forgets these flows.
+func (a *attempts) take(dead map[*load]bool, now time.Time) []zf.Packet {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var last []zf.Packet
+	for i := range a.rows {
+		row := &a.rows[i]
+		if row.load == nil || !dead[row.load] || row.opening || now.UnixNano()-row.seen >= int64(idleTime) {
+			continue
+		}
+		last = append(last, zf.Packet{
+			Flow:         row.flow,
+			Sequence:     row.sequence,
+			Acknowledged: row.latest,
+		})
+		*row = attempt{}
+	}
+	return last
+}
+
 // advance counts the request as answered, and reports that, if the caller has got
 // more since.
 func (r *attempt) advance(acknowledged uint32) bool {
--- a/core/zfcookie/load.go
+++ b/core/zfcookie/load.go
@@ -36,6 +36,9 @@
 	// telling is how many further times the counts are told, though no request
 	// went unanswered. It belongs to the control goroutine.
 	telling int
+	// verdict is what is known of the backend server's end. It belongs to the control
+	// goroutine.
+	verdict verdict
 }
 
 const (
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -34,6 +34,8 @@
 	sharedAt time.Time
 	revision uint64
 	decayed  time.Time
+	// ended are the last packets of flows whose callers have to hear that they ended.
+	ended []zf.Packet
 }
 
 // snapshot is what the traffic goroutines read.
@@ -153,16 +155,17 @@
 				l.answered() // Packets that waited here meanwhile show nothing.
 			}
 		}
+		m.endFlows(now)
 	}
 	if view.Informed && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
-		m.publish(view)
+		m.publish(view, now)
 	}
 	return nil
 }
 
 // publish builds the snapshot of a view.
-func (m *Mapper) publish(view zf.View) {
+func (m *Mapper) publish(view zf.View, now time.Time) {
 	next := &snapshot{
 		routes:  newRoutes(len(view.Routes)),
 		cookies: make(map[zf.Cookie]*server, len(view.Servers)),
@@ -171,6 +174,7 @@
 	loads := make(map[zf.Life]*load, len(view.Servers))
 	for _, row := range view.Servers {
 		s := m.server(row, loads)
+		s.load.verdict.learn(row, now)
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
 			continue // Two backend servers with one cookie: the earlier one keeps it.
 		}
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -41,7 +41,7 @@
 	}
 	r := s.routes.find(packet.Flow.Destination)
 	if packet.Kind == zf.PacketOpening {
-		return m.open(r, packet, now)
+		return m.open(r, &packet, now)
 	}
 	server := s.cookies[packet.Cookie]
 	switch {
@@ -59,7 +59,7 @@
 	case server.State == zf.ServerGone && server.Proven:
 		return reset(zf.ReasonServerDead)
 	}
-	m.observe(server, packet, now)
+	m.observe(server, &packet, now)
 	if server.Late && server.load.lost(now) {
 		return reset(zf.ReasonServerDead)
 	}
@@ -67,7 +67,7 @@
 }
 
 // observe notes what a packet of an open flow tells of its backend server.
-func (m *Mapper) observe(s *server, packet zf.Packet, now time.Time) {
+func (m *Mapper) observe(s *server, packet *zf.Packet, now time.Time) {
 	hash := zfflow.Hash(m.config.Seed, packet.Flow)
 	switch {
 	case packet.Kind == zf.PacketClosing:
@@ -90,7 +90,7 @@
 
 // open chooses the backend server of a new flow. A copy of an opening packet
 // tells that the one chosen before has not answered.
-func (m *Mapper) open(r *route, packet zf.Packet, now time.Time) zf.Verdict {
+func (m *Mapper) open(r *route, packet *zf.Packet, now time.Time) zf.Verdict {
 	if r == nil {
 		return reset(zf.ReasonUnknownRoute)
 	}
@@ -116,7 +116,7 @@
 		return reset(zf.ReasonNoServer)
 	}
 	s.load.open()
-	m.attempts.open(hash, s.load)
+	m.attempts.open(hash, s.load, &packet.Flow)
 	return forward(s)
 }
 
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -119,6 +119,9 @@
 // unanswered lately.
 func (w *World) Outcomes() []zf.Outcome { return w.config.Observer.Outcomes() }
 
+// Ended returns the last packets of flows whose callers have to hear that they ended.
+func (w *World) Ended() []zf.Packet { return w.config.Observer.Ended() }
+
 // Loads returns the requests to each backend server since the last call, or nil if
 // that was told lately.
 func (w *World) Loads(now time.Time) []zf.ServerLoad {
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -136,6 +136,7 @@
 		Known:    p.Loop.Known,
 		Take:     p.Loop.Take,
 	})
+	p.Loop.OnEnded(p.Traffic.End)
 	p.Reloader.onSeeds(func(seeds []netip.AddrPort) {
 		follower.Seed(zfcluster.Addresses(seeds, p.Settings.Listen.Advertise))
 	})
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -40,8 +40,10 @@
 	done   chan struct{}
 	// stopping is closed when a planned stop has begun.
 	stopping chan struct{}
-	feed     *zfcluster.Feed
-	told     told
+	// end tells callers that their flows ended.
+	end  func(last []zf.Packet)
+	feed *zfcluster.Feed
+	told told
 	// ready and index are what other goroutines read of the world.
 	ready atomic.Bool
 	index atomic.Uint64
@@ -87,6 +89,9 @@
 	return l
 }
 
+// OnEnded sets what tells callers that their flows ended. It is called before Run.
+func (l *Loop) OnEnded(end func(last []zf.Packet)) { l.end = end }
+
 // Run runs the systems until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
@@ -102,6 +107,9 @@
 		case <-tick:
 			l.config.World.Tick(l.config.Clock.Now())
 		}
+		if ended := l.config.World.Ended(); len(ended) > 0 && l.end != nil {
+			l.end(ended)
+		}
 		l.feed.Wake(l.config.Clock.Now())
 		l.watch()
 	}
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -160,6 +160,28 @@
 	}
 }
 
+// End tells callers that their flows have ended, by the last packets of these.
+func (s *Sockets) End(last []zf.Packet) {
+	framing := s.config.Framing()
+	counters := s.config.Counters
+	verdict := zf.Verdict{
+		Action: zf.ActionReset,
+		Server: zf.NoServer,
+		Reason: zf.ReasonServerDead,
+	}
+	now := s.config.Clock.Now()
+	for _, packet := range last {
+		if s.reset(framing, packet) != nil {
+			counters.PacketDropped.Add(zf.ReasonSendFailed)
+			continue
+		}
+		counters.FlowReset.Add(verdict.Reason)
+		if s.config.Observe != nil {
+			s.config.Observe(packet, verdict, now)
+		}
+	}
+}
+
 // reset tells the caller that its flow can't go on.
 func (s *Sockets) reset(framing zf.Framing, packet zf.Packet) error {
 	datagram, to, ok := framing.Reset(packet)
--- a/io/zftraffic/socket_test.go
+++ b/io/zftraffic/socket_test.go
@@ -78,6 +78,44 @@
 	return address, counters
 }
 
+// resetting is a framing whose flows can be reset: the datagram names the caller.
+type resetting struct {
+	zf.Framing
+	to netip.AddrPort
+}
+
+// Reset implements zinniafront.Framing.
+func (r resetting) Reset(packet zf.Packet) ([]byte, netip.AddrPort, bool) {
+	return []byte(packet.Flow.Source.String()), r.to, true
+}
+
+func TestEnd(t *testing.T) {
+	caller, counters := listen(t), zfcounter.New()
+	sockets, err := zftraffic.Listen(zftraffic.Config{
+		Traffic: freeAddress(t),
+		Framing: func() zf.Framing {
+			return resetting{
+				to: addressOf(caller),
+			}
+		},
+		Clock:    zfclock.System{},
+		Counters: counters,
+	})
+	zfassert.NoError(t, err)
+	defer sockets.Close()
+	source := netip.MustParseAddrPort("192.0.2.1:1000")
+	sockets.End([]zf.Packet{{
+		Flow: zf.Flow{
+			Source:      source,
+			Destination: frontend,
+		},
+	}})
+	buffer := make([]byte, 100)
+	n, err := caller.Read(buffer)
+	zfassert.NoError(t, err)
+	zfassert.Equal(t, "reset of", string(buffer[:n]), source.String())
+}
+
 func packet(t testing.TB, flow int) []byte {
 	t.Helper()
 	segment := zfsegment.Segment{
