Control instances tell the entry instances of their data centre that they are back

Change: a control instance keeps the addresses of its followers, and of those of the others in its data centre, on disk. When it starts it tells them its address, each 50 ms for up to 3 s; who has nobody to follow asks that one next. Tests: zfcluster TestFollower (two subtests), TestClient, TestPeers.

--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -137,6 +137,7 @@
 		Take:     p.Loop.Take,
 	})
 	p.Loop.OnEnded(p.Traffic.End)
+	p.Loop.OnOffer(follower.Offer)
 	p.Reloader.onSeeds(func(seeds []netip.AddrPort) {
 		follower.Seed(zfcluster.Addresses(seeds, p.Settings.Listen.Advertise))
 	})
--- a/io/command/zfservecmd/forward_test.go
+++ b/io/command/zfservecmd/forward_test.go
@@ -45,7 +45,7 @@
 		{
 			name: "nothing but the flag ends it",
 			most: 5 * time.Second,
-			want:  5*time.Second - lameDuck - stopSlack,
+			want: 5*time.Second - lameDuck - stopSlack,
 		},
 		{
 			name:  "there is no time to wait",
--- a/io/command/zfservecmd/keeper.go
+++ b/io/command/zfservecmd/keeper.go
@@ -22,11 +22,12 @@
 	"zinniafront/platform"
 )
 
-// The documents in the data folder: the replicated record, and the table of
-// backend servers.
+// The documents in the data folder: the replicated record, the table of backend
+// servers, and the addresses of entry instances.
 const (
-	recordFile  = "record"
-	serversFile = "servers"
+	recordFile    = "record"
+	serversFile   = "servers"
+	followersFile = "followers"
 )
 
 func keeperModule() fx.Option {
@@ -93,8 +94,13 @@
 		Clock:    p.Factory.Clock,
 		Counters: p.Counters,
 		Logger:   p.Logger,
+
+		Followers: p.Folder.File(followersFile),
 	})
-	return loop, loop.LoadServers(p.Factory.Clock.Now())
+	if err := loop.LoadServers(p.Factory.Clock.Now()); err != nil {
+		return nil, err
+	}
+	return loop, loop.LoadFollowers()
 }
 
 // firstRecord returns the record of a new disk. When the whole system starts for
--- a/io/zfcluster/client.go
+++ b/io/zfcluster/client.go
@@ -106,6 +106,13 @@
 	return reply, err
 }
 
+// Offer tells an entry instance of a control instance.
+func (c *Client) Offer(address netip.AddrPort, timeout time.Duration) error {
+	return c.call("Offer", OfferArgs{
+		Address: address,
+	}, &Empty{}, timeout)
+}
+
 // Fetch asks for news.
 func (c *Client) Fetch(args FetchArgs, timeout time.Duration) (FetchReply, error) {
 	var reply FetchReply
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -103,8 +103,10 @@
 
 // distant is what another feed told of its followers.
 type distant struct {
-	// some are a few of them, count is how many there are.
+	// some are a few of them, or all where near is set, as the feed is in the same data
+	// centre; count is how many there are.
 	some  []netip.AddrPort
+	near  bool
 	count int
 	heard time.Time
 }
@@ -123,11 +125,35 @@
 func (f *Feed) Distant(feed netip.AddrPort, reply FetchReply, now time.Time) {
 	f.distant[feed] = distant{
 		some:  reply.Peers,
+		near:  reply.Near,
 		count: reply.Entries,
 		heard: now,
 	}
 }
 
+// Followers returns the addresses of the entry instances that follow this feed, or
+// another one in its data centre.
+func (f *Feed) Followers() []netip.AddrPort {
+	followers := f.own()
+	for _, d := range f.distant {
+		if d.near {
+			followers = append(followers, d.some...)
+		}
+	}
+	slices.SortFunc(followers, netip.AddrPort.Compare)
+	return slices.Compact(followers)
+}
+
+// own returns the addresses of the entry instances that follow this feed.
+func (f *Feed) own() []netip.AddrPort {
+	followers := make([]netip.AddrPort, 0, len(f.followers))
+	for address := range f.followers {
+		followers = append(followers, address)
+	}
+	slices.SortFunc(followers, netip.AddrPort.Compare)
+	return followers
+}
+
 // entries returns the number of entry instances that follow this feed, and those
 // that follow others if all is set.
 func (f *Feed) entries(all bool, now time.Time) int {
@@ -206,10 +232,11 @@
 		Contact:  f.config.Source.Contact(now),
 		Controls: f.config.Source.Controls(now),
 		Peers:    f.peers(args, now),
+		Near:     f.near(args),
 		Entries:  f.entries(!args.Control, now),
 		Turn:     f.turn(args, now),
 	}
-	if f.config.Peers && args.Centre == f.config.Centre && (args.Control || args.Loads != nil) {
+	if f.near(args) || f.config.Peers && args.Centre == f.config.Centre && args.Loads != nil {
 		reply.Loads = f.config.Source.Loads(!args.Control, now)
 	}
 	if !args.Control && published.Index > args.Index {
@@ -219,6 +246,11 @@
 	return reply
 }
 
+// near reports whether the asker is a control instance of the same data centre.
+func (f *Feed) near(args FetchArgs) bool {
+	return f.config.Peers && args.Control && args.Centre == f.config.Centre
+}
+
 // turn reports whether the asker waits for its turn to stop, and has it.
 func (f *Feed) turn(args FetchArgs, now time.Time) bool {
 	return args.Stopping && f.config.Source.Turn(args.Instance, now)
@@ -241,6 +273,9 @@
 			far = append(far, address)
 		}
 	}
+	if f.near(args) {
+		return f.own()
+	}
 	if !args.Control {
 		for _, d := range f.distant {
 			far = append(far, d.some...)
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -291,6 +291,21 @@
 	t.Run("each is told of others", func(t *testing.T) {
 		zfassert.Equal(t, "first peer", assertAnswered(t, feed, follower(6, "one")).Peers[0], follower(1, "").Address)
 	})
+	t.Run("control instances of one data centre know all of its entry instances", func(t *testing.T) {
+		here, there := newFeed(newState()), newFeed(newState())
+		assertAnswered(t, here, follower(1, "one"))
+		for i := range 6 {
+			assertAnswered(t, there, follower(i+2, "one"))
+		}
+		reply := assertAnswered(t, there, zfcluster.FetchArgs{
+			Control: true,
+		})
+		here.Distant(netip.MustParseAddrPort("10.9.0.9:7000"), reply, start)
+		zfassert.Equal(t, "followers", len(here.Followers()), 7)
+		reply.Near = false
+		here.Distant(netip.MustParseAddrPort("10.9.0.9:7000"), reply, start)
+		zfassert.Equal(t, "followers without the word of another data centre", len(here.Followers()), 1)
+	})
 	t.Run("one that has not fetched for a while is no peer", func(t *testing.T) {
 		reply, _ := fetch(feed, follower(1, "one"), start.Add(time.Minute))
 		zfassert.Equal(t, "peers", len(reply.Peers), 1)
--- a/io/zfcluster/follower.go
+++ b/io/zfcluster/follower.go
@@ -76,8 +76,11 @@
 // that one doesn't answer or has lost touch with the others. Where it reaches
 // none, it turns to other entry instances.
 type Follower struct {
-	config   FollowerConfig
-	seeds    chan []netip.AddrPort
+	config FollowerConfig
+	seeds  chan []netip.AddrPort
+	// offers holds the address of a control instance that has started, to be tried
+	// next unless there is a session.
+	offers   chan netip.AddrPort
 	controls []zfquorum.Node
 	// peers are other entry instances.
 	peers  []netip.AddrPort
@@ -111,6 +114,7 @@
 	return &Follower{
 		config: config,
 		seeds:  make(chan []netip.AddrPort, 1),
+		offers: make(chan netip.AddrPort, 1),
 		pause:  retryLeast,
 	}
 }
@@ -124,6 +128,14 @@
 	f.seeds <- seeds
 }
 
+// Offer tells of a control instance that has started.
+func (f *Follower) Offer(address netip.AddrPort) {
+	select {
+	case f.offers <- address:
+	default: // Another one was offered, and not tried yet.
+	}
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.leave()
@@ -149,6 +161,12 @@
 // turn chooses the next control instance, and after them other entry instances,
 // which may reach one that this one doesn't. After a round it pauses.
 func (f *Follower) turn(ctx context.Context) bool {
+	select {
+	case offered := <-f.offers:
+		f.begin(offered, false)
+		return true
+	default:
+	}
 	controls := f.candidates()
 	candidates := slices.Concat(controls, f.peers)
 	if f.next >= len(candidates) {
@@ -159,10 +177,20 @@
 		select {
 		case <-ctx.Done():
 		case <-pause:
+		case offered := <-f.offers:
+			f.begin(offered, false)
+			return true
 		}
 		return false
 	}
-	f.client = NewClient(candidates[f.next], f.config.Clock)
+	f.begin(candidates[f.next], f.next >= len(controls))
+	f.next++
+	return true
+}
+
+// begin prepares a session with another instance.
+func (f *Follower) begin(address netip.AddrPort, peer bool) {
+	f.client = NewClient(address, f.config.Clock)
 	f.source = 0
 	f.cursor = 0
 	f.owed = nil
@@ -170,9 +198,7 @@
 	f.bucket = 0
 	f.told = 0
 	f.stale = false
-	f.peer = f.next >= len(controls)
-	f.next++
-	return true
+	f.peer = peer
 }
 
 // candidates returns the control instances to try: those of the own data centre
@@ -267,6 +293,10 @@
 		f.note(false, nil)
 		f.next = 0
 		f.pause = retryLeast
+		select {
+		case <-f.offers: // It came too late.
+		default:
+		}
 	}
 }
 
--- a/io/zfcluster/follower_test.go
+++ b/io/zfcluster/follower_test.go
@@ -23,10 +23,14 @@
 type instance struct {
 	reply zfcluster.FetchReply
 	calls chan zfcluster.FetchArgs
+	// offered are the control instances that have told that they started.
+	offered chan netip.AddrPort
 }
 
 func (i *instance) Deliver([]zfquorum.Message) {}
 
+func (i *instance) Offer(address netip.AddrPort) { i.offered <- address }
+
 func (i *instance) Ask(zfcluster.AskArgs) (zfcluster.AskReply, error) {
 	return zfcluster.AskReply{}, nil
 }
@@ -54,6 +58,8 @@
 	i := &instance{
 		reply: reply,
 		calls: make(chan zfcluster.FetchArgs, 16),
+
+		offered: make(chan netip.AddrPort, 1),
 	}
 	address := freeAddress(t)
 	server, err := zfcluster.Listen(zfcluster.ServerConfig{
@@ -90,6 +96,21 @@
 // followBy follows by a clock and owes rows after each reply.
 func followBy(t testing.TB, clock zf.Clock, owed []zfregistry.Update, centre zf.CentreName, seeds ...netip.AddrPort) <-chan uint64 {
 	t.Helper()
+	follower, sources := newFollower(clock, owed, centre, seeds...)
+	run(t, follower)
+	return sources
+}
+
+// run runs a follower until the test ends.
+func run(t testing.TB, follower *zfcluster.Follower) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go follower.Run(ctx)
+}
+
+// newFollower returns a follower, and the sources of the replies that come to it.
+func newFollower(clock zf.Clock, owed []zfregistry.Update, centre zf.CentreName, seeds ...netip.AddrPort) (*zfcluster.Follower, <-chan uint64) {
 	sources := make(chan uint64, 1024)
 	follower := zfcluster.NewFollower(zfcluster.FollowerConfig{
 		Instance: "e1",
@@ -110,10 +131,7 @@
 			return owed
 		},
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	go follower.Run(ctx)
-	return sources
+	return follower, sources
 }
 
 // assertReaches waits until a reply of a source comes.
@@ -167,6 +185,25 @@
 		})
 		assertReaches(follow(t, "one", far), 4)
 	})
+	t.Run("a control instance that tells that it has started is asked, though it is no seed", func(t *testing.T) {
+		started, i := serve(t, 8, zfcluster.FetchReply{})
+		follower, sources := newFollower(zfclock.System{}, nil, "one", freeAddress(t))
+		run(t, follower)
+		follower.Offer(started)
+		assertReaches(sources, 8)
+		zfassert.True(t, "it was asked", len(i.calls) > 0)
+	})
+	t.Run("not by one that follows somebody", func(t *testing.T) {
+		present, _ := serve(t, 9, zfcluster.FetchReply{})
+		started, i := serve(t, 8, zfcluster.FetchReply{})
+		follower, sources := newFollower(zfclock.System{}, nil, "one", present)
+		run(t, follower)
+		assertReaches(sources, 9)
+		follower.Offer(started)
+		assertReaches(sources, 9)
+		assertReaches(sources, 9)
+		zfassert.Equal(t, "calls", len(i.calls), 0)
+	})
 	t.Run("a control state that can't be read here is not asked for again", func(t *testing.T) {
 		address, i := serve(t, 7, zfcluster.FetchReply{
 			Index: 9,
@@ -230,6 +267,14 @@
 }
 
 func TestClient(t *testing.T) {
+	t.Run("a control instance tells that it has started", func(t *testing.T) {
+		address, i := serve(t, 1, zfcluster.FetchReply{})
+		client := zfcluster.NewClient(address, zfclock.System{})
+		defer client.Close()
+		started := netip.MustParseAddrPort("10.0.0.9:7000")
+		zfassert.NoError(t, client.Offer(started, time.Minute))
+		zfassert.Equal(t, "address", <-i.offered, started)
+	})
 	t.Run("silence is found out", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		zfassert.NoError(t, err)
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -52,6 +52,11 @@
 	Refused bool
 }
 
+// OfferArgs tells an entry instance of a control instance that has started.
+type OfferArgs struct {
+	Address netip.AddrPort
+}
+
 // FetchArgs asks for what changed since an earlier answer.
 type FetchArgs struct {
 	Instance zf.InstanceName
@@ -107,8 +112,10 @@
 	// Controls are the control instances that are there.
 	Controls []zfquorum.Node
 	// Peers are other entry instances, which can tell the news where no control
-	// instance is reached.
+	// instance is reached. To a control instance of the same data centre they are all
+	// that follow the answering one, which Near tells.
 	Peers []netip.AddrPort
+	Near  bool
 	// Loads are those of the data centre; to a control instance of the same one, what
 	// the answering one's own followers tell.
 	Loads []zf.ServerLoad
@@ -127,6 +134,8 @@
 	Ask(args AskArgs) (AskReply, error)
 	// Fetch returns news, and waits for some.
 	Fetch(args FetchArgs) (FetchReply, error)
+	// Offer takes the address of a control instance that has started.
+	Offer(address netip.AddrPort)
 }
 
 // NoContact stands for an instance that was never in touch with a majority.
--- a/io/zfcluster/server.go
+++ b/io/zfcluster/server.go
@@ -96,6 +96,12 @@
 	return err
 }
 
+// Offer takes the address of a control instance.
+func (m *methods) Offer(args OfferArgs, _ *Empty) error {
+	m.handler.Offer(args.Address)
+	return nil
+}
+
 // Fetch returns news.
 func (m *methods) Fetch(args FetchArgs, reply *FetchReply) (err error) {
 	*reply, err = m.handler.Fetch(args)
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -58,6 +58,9 @@
 	// ServersSaveFail costs time after the next power loss only.
 	ServersSaveFail = add(3015, "backend servers not saved", log.WarnLevel)
 	ServerSuspected = add(3016, "backend server leaves requests unanswered", log.WarnLevel)
+	FollowersLoaded = add(3017, "followers loaded", log.InfoLevel)
+	// FollowersSaveFail costs time after the next outage only.
+	FollowersSaveFail = add(3018, "followers not saved", log.WarnLevel)
 )
 
 // The events of flows.
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -1,6 +1,7 @@
 package zfforwardloop
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,6 +79,9 @@
 // replication.
 func (l *Loop) Deliver([]zfquorum.Message) {}
 
+// Offer implements zfcluster.Handler.
+func (l *Loop) Offer(address netip.AddrPort) { l.offer(address) }
+
 // Ask implements zfcluster.Handler; an entry instance never leads.
 func (l *Loop) Ask(zfcluster.AskArgs) (zfcluster.AskReply, error) {
 	return zfcluster.AskReply{
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,8 @@
 	done   chan struct{}
 	// stopping is closed when a planned stop has begun.
 	stopping chan struct{}
+	// offer takes the address of a control instance that has started.
+	offer func(control netip.AddrPort)
 	// end tells callers that their flows ended.
 	end  func(last []zf.Packet)
 	feed *zfcluster.Feed
@@ -89,6 +92,10 @@
 	return l
 }
 
+// OnOffer sets what takes the addresses of control instances that have started. It is
+// called before the instance takes calls of others.
+func (l *Loop) OnOffer(offer func(control netip.AddrPort)) { l.offer = offer }
+
 // OnEnded sets what tells callers that their flows ended. It is called before Run.
 func (l *Loop) OnEnded(end func(last []zf.Packet)) { l.end = end }
 
--- a/io/zfkeeperloop/loop.go
+++ b/io/zfkeeperloop/loop.go
@@ -44,13 +44,15 @@
 	// Source identifies this run of the process to those who follow it.
 	Source uint64
 	Store  zf.Store
-	// Servers keeps the backend servers over a power loss.
-	Servers zf.Store
-	Mailer  *zfcluster.Mailer
-	Decode  func(document []byte) (*zfbundle.Bundle, error)
-	Digest  func(document []byte) string
-	Clock   zf.Clock
-	Logger  *zfevent.Logger
+	// Servers keeps the backend servers over a power loss, Followers the addresses of
+	// the entry instances that follow this instance.
+	Servers   zf.Store
+	Followers zf.Store
+	Mailer    *zfcluster.Mailer
+	Decode    func(document []byte) (*zfbundle.Bundle, error)
+	Digest    func(document []byte) string
+	Clock     zf.Clock
+	Logger    *zfevent.Logger
 	// Counters count what came in and what was refused.
 	Counters *zfcounter.Set
 }
@@ -67,8 +69,13 @@
 	servers      chan []zfregistry.Update
 	serversSaved uint64
 	serversAt    time.Time
-	replies      map[zfkeeper.ID]chan<- zfkeeper.Answer
-	nextID       zfkeeper.ID
+	// followers carries addresses to the disk, earlier are those found there.
+	followers      chan []netip.AddrPort
+	followersSaved []netip.AddrPort
+	followersAt    time.Time
+	earlier        []netip.AddrPort
+	replies        map[zfkeeper.ID]chan<- zfkeeper.Answer
+	nextID         zfkeeper.ID
 	// yielded is closed when another instance leads after this one has yielded.
 	yielded chan struct{}
 	feed    *zfcluster.Feed
@@ -94,6 +101,9 @@
 		done:    make(chan struct{}),
 		saves:   make(chan save, 1),
 		servers: make(chan []zfregistry.Update),
+
+		followers: make(chan []netip.AddrPort),
+
 		replies: make(map[zfkeeper.ID]chan<- zfkeeper.Answer),
 		clients: make(map[netip.AddrPort]*zfcluster.Client),
 	}
@@ -104,6 +114,9 @@
 	defer close(l.done)
 	go l.runDisk()
 	go l.runServers()
+	for _, follower := range l.earlier {
+		go l.offer(follower)
+	}
 	l.finish(l.config.Clock.Now())
 	for {
 		tick, release := l.config.Clock.After(tickEvery)
@@ -140,6 +153,7 @@
 func (l *Loop) finish(now time.Time) {
 	l.save()
 	l.saveServers(now)
+	l.saveFollowers(now)
 	l.config.Mailer.Send(l.config.World.Replica().Take())
 	l.answer()
 	l.feed.Wake(now)
--- /dev/null
+++ b/io/zfkeeperloop/offer.go
@@ -0,0 +1,95 @@
+package zfkeeperloop
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"zinniafront/io/zfcluster"
+	"zinniafront/io/zfevent"
+)
+
+const (
+	// followersEvery is the least time between two saves of the followers' addresses,
+	// which are of use after an outage only.
+	followersEvery = 5 * time.Second
+	// offerTime is how long this instance tries to reach those that followed it before
+	// it stopped: machines that lost power together are back within two seconds of each
+	// other, and after that entry instances have found somebody.
+	offerTime = 3 * time.Second
+	// offerEvery is the pause between two tries, offerTimeout bounds one.
+	offerEvery   = 50 * time.Millisecond
+	offerTimeout = 300 * time.Millisecond
+)
+
+// LoadFollowers takes the addresses of those that followed this instance before it
+// stopped.
+func (l *Loop) LoadFollowers() error {
+	text, err := l.config.Followers.Load()
+	if err != nil || text == nil {
+		return errors.Wrap(err, "load followers")
+	}
+	if err := gob.NewDecoder(bytes.NewReader(text)).Decode(&l.earlier); err != nil {
+		return errors.Wrap(err, "decode followers")
+	}
+	l.config.Logger.Entry(zfevent.FollowersLoaded).Int("followers", len(l.earlier)).Msg("")
+	return nil
+}
+
+// saveFollowers hands the addresses of the followers to the disk's goroutine where
+// they have changed.
+func (l *Loop) saveFollowers(now time.Time) {
+	if now.Sub(l.followersAt) < followersEvery {
+		return
+	}
+	l.followersAt = now
+	followers := l.feed.Followers()
+	if len(followers) == 0 || slices.Equal(followers, l.followersSaved) {
+		return
+	}
+	select {
+	case l.followers <- followers:
+		l.followersSaved = followers
+	default: // The disk is still busy.
+	}
+}
+
+// storeFollowers saves the addresses of the followers.
+func (l *Loop) storeFollowers(followers []netip.AddrPort) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(followers)
+	if err == nil {
+		err = l.config.Followers.Save(buffer.Bytes())
+	}
+	if err != nil {
+		l.config.Logger.Entry(zfevent.FollowersSaveFail).Err(err).Msg("")
+	}
+}
+
+// offer tells an earlier follower that this instance is there. After an outage entry
+// instances know the seeds only, and one that is none may be back first.
+func (l *Loop) offer(follower netip.AddrPort) {
+	client := zfcluster.NewClient(follower, l.config.Clock)
+	defer client.Close()
+	self := l.config.World.Replica().Self().Address
+	for start := l.config.Clock.Now(); l.config.Clock.Now().Sub(start) < offerTime; {
+		if client.Offer(self, offerTimeout) == nil {
+			return
+		}
+		pause, release := l.config.Clock.After(offerEvery)
+		select {
+		case <-pause:
+		case <-l.done:
+			release()
+			return
+		}
+	}
+}
+
+// Offer implements zfcluster.Handler; control instances find each other by the
+// replication.
+func (l *Loop) Offer(netip.AddrPort) {}
--- a/io/zfkeeperloop/servers.go
+++ b/io/zfkeeperloop/servers.go
@@ -63,6 +63,8 @@
 		select {
 		case <-l.done:
 			return
+		case followers := <-l.followers:
+			l.storeFollowers(followers)
 		case updates := <-l.servers:
 			var buffer bytes.Buffer
 			err := gob.NewEncoder(&buffer).Encode(updates)
--- a/lab/zfsoak/process.go
+++ b/lab/zfsoak/process.go
@@ -57,7 +57,7 @@
 // refuse has the process find folders in place of the files that it writes, or no
 // longer.
 func (m *machine) refuse(on bool) error {
-	for _, file := range []string{"record.new", "servers.new"} {
+	for _, file := range []string{"record.new", "servers.new", "followers.new"} {
 		path := filepath.Join(m.data(), file)
 		if !on {
 			if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
