--- a/core/zfforward/stop_test.go
+++ b/core/zfforward/stop_test.go
@@ -24,6 +24,12 @@
 	zfassert.Equal(t, "ready", world.Ready(), !want)
 }
 
+// assertWaiting fails the test unless the instance asks for its turn, or doesn't.
+func assertWaiting(t testing.TB, world *zfforward.World, want bool) {
+	t.Helper()
+	zfassert.Equal(t, "waiting", world.Waiting(), want)
+}
+
 func TestStop(t *testing.T) {
 	const wait = 3 * time.Second
 	// listen has the instance hear news each half second, the last time after d.
@@ -46,6 +52,16 @@
 		})
 		assertStopping(t, world, true)
 	})
+	t.Run("it asks for its turn only while it waits", func(t *testing.T) {
+		world := readyWorld()
+		assertWaiting(t, world, false)
+		world.Stop(wait, start)
+		assertWaiting(t, world, true)
+		listen(world, time.Second, zfforward.News{
+			Turn: true,
+		})
+		assertWaiting(t, world, false)
+	})
 	t.Run("for a while only", func(t *testing.T) {
 		world := readyWorld()
 		world.Stop(wait, start)
--- a/core/zfturn/table.go
+++ b/core/zfturn/table.go
@@ -25,7 +25,7 @@
 	Centre   zf.CentreName
 	// Ready tells that it takes traffic.
 	Ready bool
-	// Stopping tells that it was asked to stop.
+	// Stopping tells that it was asked to stop and waits for its turn.
 	Stopping bool
 }
 
@@ -48,8 +48,8 @@
 	}
 }
 
-// Note takes the word of an instance. One that is not stopping has not had its turn,
-// or is back from it.
+// Note takes the word of an instance. One that doesn't wait for its turn is ready, or
+// tells that it is not.
 func (t *Table) Note(word Word, now time.Time) {
 	r := t.rows[word.Instance]
 	if r == nil {
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -179,7 +179,7 @@
 	}
 	l.do(func(now time.Time) {
 		known.Ready = l.config.World.Ready()
-		known.Stopping = l.config.World.StopAsked()
+		known.Stopping = l.config.World.Waiting()
 		known.Outcomes = l.config.World.Outcomes()
 		known.Loads = l.config.World.Loads(now)
 		if first {
