An instance that waits for its turn leaves the rotation within 4 s

Change: the wait also ends 3.5 s before the end of the grace period: 2 s, two checks, and half a second for a late one. Test: TestTurnWait, 'the platform wants it out of the rotation 2 s before it ends it', fails before, passes after. The cases of the flag alone expect shorter waits: the margin holds for it too.

--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -29,12 +29,13 @@
 	// ready: two failed checks half a second apart take it out of the rotation,
 	// and packets on their way arrive.
 	lameDuck = 1250 * time.Millisecond
-	// stopSlack is left of the time that a planned stop may take when the instance has
-	// waited for its turn as long as it may: signals and timers come late.
-	stopSlack = 800 * time.Millisecond
-	// checkSlack is the pause between two readiness checks: the platform's bound allows
-	// for those that take an instance out of the rotation, but not for a late one.
-	checkSlack = 500 * time.Millisecond
+	// rotationTime is how long two failed checks take that end an instance's part in the
+	// rotation, checkSlack what a late one adds.
+	rotationTime = time.Second
+	checkSlack   = 500 * time.Millisecond
+	// graceMargin is how long before it ends a process the platform wants it out of the
+	// rotation: with 6 s of grace it has to be out after 4 s.
+	graceMargin = 2 * time.Second
 )
 
 // turnWait returns how long an instance may wait for its turn to stop, when a planned
@@ -43,7 +44,7 @@
 	if platform.Grace > 0 {
 		most = min(most, platform.Grace)
 	}
-	wait := most - lameDuck - stopSlack
+	wait := most - graceMargin - rotationTime - checkSlack
 	if platform.Drain > 0 {
 		wait = min(wait, platform.Drain-checkSlack)
 	}
--- a/io/command/zfservecmd/forward_test.go
+++ b/io/command/zfservecmd/forward_test.go
@@ -17,35 +17,29 @@
 		want  time.Duration
 	}{
 		{
-			name:  "the instance has to leave the rotation in time",
+			name:  "the platform wants it out of the rotation 2 s before it ends it",
 			most:  20 * time.Second,
 			grace: 6 * time.Second,
-			drain: 3 * time.Second,
+			drain: 4 * time.Second,
 			want:  2500 * time.Millisecond,
 		},
 		{
-			name:  "a longer bound doesn't count",
+			name:  "or within its bound of a drain",
 			most:  20 * time.Second,
 			grace: 6 * time.Second,
-			drain: 10 * time.Second,
-			want:  6*time.Second - lameDuck - stopSlack,
-		},
-		{
-			name:  "the platform ends a stop before the flag does",
-			most:  20 * time.Second,
-			grace: 6 * time.Second,
-			want:  6*time.Second - lameDuck - stopSlack,
+			drain: 2 * time.Second,
+			want:  1500 * time.Millisecond,
 		},
 		{
 			name:  "the flag ends it first",
 			most:  5 * time.Second,
 			grace: 6 * time.Second,
-			want:  5*time.Second - lameDuck - stopSlack,
+			want:  1500 * time.Millisecond,
 		},
 		{
 			name: "nothing but the flag ends it",
 			most: 5 * time.Second,
-			want: 5*time.Second - lameDuck - stopSlack,
+			want: 1500 * time.Millisecond,
 		},
 		{
 			name:  "there is no time to wait",
