Keep a backend server that left gone on every instance that learns of it

Cause: a row created from another instance's report, or from the table on disk, had no time of its end, so that the next tick removed it as if its retention had passed. A late heartbeat of the backend server was then accepted as new: a server that had left was in use again after a restart of a control instance. The digest of a row left out connections, the address for requests and the number, so that two tables could differ in them unnoticed.

Change: a row is created with the time of its end; reports carry the time since the end (Update.Gone), so that retention counts from the end itself and an end beyond it is not learned again, which would keep rows circulating. A report from the future counts as now. The digest covers all announced fields that don't change with each heartbeat.

--- a/core/zfregistry/digest.go
+++ b/core/zfregistry/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -24,8 +25,8 @@
 func (t *Table) Digests() []uint64 { return slices.Clone(t.digests[:]) }
 
 // digest returns a hash of the row's identity, service, data centre, status,
-// Proven, Late, address and slots, without the sequence and times other than
-// Born. It is 0 for a row that is gone without proof: Merge doesn't add such a
+// Proven, Late, addresses, capacity and number, without the sequence and times
+// other than Born. It is 0 for a row that is gone without proof: Merge doesn't add such a
 // row to a table that lacks it, so with another value the digests of the two
 // tables would never become equal.
 func (r *Row) digest() uint64 {
@@ -40,10 +41,14 @@
 	buffer = append(buffer, r.Centre...)
 	buffer = append(buffer, 0, byte(r.Status), boolByte(r.Proven), boolByte(r.Late))
 	buffer = binary.BigEndian.AppendUint64(buffer, uint64(r.Born.UnixMilli()))
-	address := r.Address.Addr().As16()
-	buffer = append(buffer, address[:]...)
-	buffer = binary.BigEndian.AppendUint16(buffer, r.Address.Port())
+	for _, address := range []netip.AddrPort{r.Address, r.Web} {
+		ip := address.Addr().As16()
+		buffer = append(buffer, ip[:]...)
+		buffer = binary.BigEndian.AppendUint16(buffer, address.Port())
+	}
 	buffer = binary.BigEndian.AppendUint64(buffer, uint64(r.Capacity.Slots))
+	buffer = binary.BigEndian.AppendUint64(buffer, uint64(r.Capacity.Connections))
+	buffer = binary.BigEndian.AppendUint64(buffer, r.Number)
 	return xxh3.Hash(buffer)
 }
 
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -14,6 +14,8 @@
 	Late   bool
 	// Age is the time since the last heartbeat.
 	Age time.Duration
+	// Gone is the time since Status became ServerGone.
+	Gone time.Duration
 	// Heard is set if the sender itself receives the heartbeats.
 	Heard bool
 	// Suspect is the remaining time for which the backend server should receive
@@ -113,6 +115,9 @@
 		Age:          now.Sub(t.lastHeartbeat(r)),
 		Heard:        r.receiver == t.config.Self && !t.config.Subscriber,
 	}
+	if r.Status == zf.ServerGone {
+		u.Gone = now.Sub(r.goneAt)
+	}
 	u.Cold = max(r.ColdUntil.Sub(now), 0)
 	u.Suspect = max(r.SuspectUntil.Sub(now), 0)
 	return u
@@ -143,7 +148,7 @@
 
 func (t *Table) merge(u *Update, from Source, now time.Time) {
 	known := t.rows[zf.NewServerIncarnation(u.Server, u.Born)]
-	if known == nil && u.Status == zf.ServerGone && !u.Proven {
+	if known == nil && u.Status == zf.ServerGone && (!u.Proven || u.Gone >= t.config.Retention) {
 		return
 	}
 	row, _ := t.insert(u.Announcement, now)
@@ -154,6 +159,7 @@
 	case u.Proven:
 		row.Sequence = max(row.Sequence, u.Sequence)
 		t.markGone(row, true, now)
+		row.goneAt = now.Add(-max(u.Gone, 0))
 	case known == nil || u.Sequence > row.Sequence:
 		t.accept(row, u.Announcement, now)
 		if !t.config.Subscriber && from != 0 { // An entry instance doesn't know the age.
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -225,6 +225,7 @@
 		Announcement: a,
 		ID:           t.nextID,
 		Status:       zf.ServerGone,
+		goneAt:       now,
 	}
 	row.element = t.byFeedRevision.PushBack(row)
 	bucket := bucketOf(row.Server)
@@ -324,9 +325,10 @@
 }
 
 // differs reports whether an announcement has another address, service, data
-// centre or capacity.
+// centre, capacity or number.
 func (r *Row) differs(a zf.Announcement) bool {
-	return r.Address != a.Address || r.Service != a.Service || r.Centre != a.Centre || r.Capacity != a.Capacity
+	return r.Address != a.Address || r.Web != a.Web || r.Service != a.Service || r.Centre != a.Centre ||
+		r.Capacity != a.Capacity || r.Number != a.Number
 }
 
 // MarkSuspect records that a backend server leaves requests unanswered and
