Run the tick of an entry instance however many events there are

Change: the timer runs across events, as in the loop of control instances, and a tick that is due goes before waiting events.

Measured: TestTick fails before (0 ticks in 2 s of events each 50 ms on a manual clock) and passes after, 20 runs with the race detector.

--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// tickInterval is the time without events after which all systems run, among them
-	// the mapper, which decays loads.
+	// tickInterval is the time between two runs of all systems, among them the mapper,
+	// which decays loads.
 	tickInterval = 100 * time.Millisecond
 	// inboxCapacity bounds the inbox; all its writers block until there is room.
 	inboxCapacity = 64
@@ -105,30 +105,51 @@
 // backend server was found dead, to reset the flow at its caller. Call it before Run.
 func (l *Loop) OnFlowsEnded(handler func(last []zf.Packet)) { l.flowsEndedHandler = handler }
 
-// Run applies the events in the inbox until ctx is done. It runs the systems when
-// tickInterval has passed since the last event or tick.
+// Run applies the events in the inbox and runs all systems each tick until ctx is done.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	for {
 		tick, release := l.config.Clock.After(tickInterval)
-		select {
-		case <-ctx.Done():
+		if !l.applyUntil(ctx, tick) {
 			release()
 			return
-		case apply := <-l.inbox:
-			release()
-			apply(l.config.Clock.Now())
+		}
+		l.config.World.Tick(l.config.Clock.Now())
+		l.flush()
+	}
+}
+
+// applyUntil applies events until the tick, which goes before events that are waiting;
+// it returns false when ctx is done.
+func (l *Loop) applyUntil(ctx context.Context, tick <-chan time.Time) bool {
+	for {
+		select {
 		case <-tick:
-			l.config.World.Tick(l.config.Clock.Now())
+			return true
+		default:
 		}
-		if ended := l.config.World.EndedFlows(); len(ended) > 0 && l.flowsEndedHandler != nil {
-			l.flowsEndedHandler(ended)
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick:
+			return true
+		case apply := <-l.inbox:
+			apply(l.config.Clock.Now())
+			l.flush()
 		}
-		l.feed.AnswerFetches(l.config.Clock.Now())
-		l.publishChanges()
 	}
 }
 
+// flush passes on the effects of events and systems: it resets flows that have ended,
+// answers fetches, and publishes and logs changes.
+func (l *Loop) flush() {
+	if ended := l.config.World.EndedFlows(); len(ended) > 0 && l.flowsEndedHandler != nil {
+		l.flowsEndedHandler(ended)
+	}
+	l.feed.AnswerFetches(l.config.Clock.Now())
+	l.publishChanges()
+}
+
 // enqueue waits for room in the inbox. It returns false if the loop has ended.
 func (l *Loop) enqueue(apply func(now time.Time)) bool {
 	select {
--- /dev/null
+++ b/io/zfforwardloop/loop_test.go
@@ -0,0 +1,131 @@
+package zfforwardloop_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfcookie"
+	"zinniafront/core/zfforward"
+	"zinniafront/core/zfregistry"
+	"zinniafront/io/zfevent"
+	"zinniafront/io/zfforwardloop"
+	"zinniafront/lab/zfassert"
+)
+
+// tickInterval is the interval at which the loop promises to run all systems.
+const tickInterval = 100 * time.Millisecond
+
+// manualClock is a clock that tests advance.
+type manualClock struct {
+	mutex  sync.Mutex
+	now    time.Time
+	timers map[chan time.Time]time.Time
+}
+
+func newManualClock() *manualClock {
+	return &manualClock{
+		now:    time.Unix(1_700_000_000, 0),
+		timers: make(map[chan time.Time]time.Time),
+	}
+}
+
+func (c *manualClock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.now
+}
+
+func (c *manualClock) After(d time.Duration) (<-chan time.Time, func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	fired := make(chan time.Time, 1)
+	c.timers[fired] = c.now.Add(d)
+	return fired, func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		delete(c.timers, fired)
+	}
+}
+
+// advance moves the clock and fires the timers that are due.
+func (c *manualClock) advance(d time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.now = c.now.Add(d)
+	for fired, due := range c.timers {
+		if !c.now.Before(due) {
+			delete(c.timers, fired)
+			fired <- c.now
+		}
+	}
+}
+
+// countingMapper counts the ticks of a mapper.
+type countingMapper struct {
+	zf.Mapper
+	ticks atomic.Int64
+}
+
+func (m *countingMapper) Tick(now time.Time, view zf.View) []zf.Envelope {
+	m.ticks.Add(1)
+	return m.Mapper.Tick(now, view)
+}
+
+// runLoop runs the loop of an entry instance until the test ends.
+func runLoop(t testing.TB, clock zf.Clock) (*zfforwardloop.Loop, *countingMapper) {
+	t.Helper()
+	cookies := zfcookie.New(zfcookie.Config{})
+	mapper := &countingMapper{
+		Mapper: cookies,
+	}
+	loop := zfforwardloop.New(zfforwardloop.Config{
+		World: zfforward.New(zfforward.Config{
+			Self:     "e1",
+			Centre:   "one",
+			Mapper:   mapper,
+			Observer: cookies,
+			Registry: zfregistry.DefaultConfig(1, time.Second),
+		}),
+		Source: 1,
+		Clock:  clock,
+		Logger: zfevent.New(zfevent.Config{
+			Output: io.Discard,
+			Level:  "error",
+		}),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go loop.Run(ctx)
+	loop.FetchState(false) // Returns once the loop runs and has its first timer.
+	return loop, mapper
+}
+
+func TestTick(t *testing.T) {
+	t.Run("the systems run without events", func(t *testing.T) {
+		clock := newManualClock()
+		loop, mapper := runLoop(t, clock)
+		clock.advance(tickInterval)
+		loop.FetchState(false)
+		loop.FetchState(false) // A tick that is due goes before the next event.
+		zfassert.Equal(t, "ticks", mapper.ticks.Load(), int64(1))
+	})
+	t.Run("the systems run however many events there are", func(t *testing.T) {
+		clock := newManualClock()
+		loop, mapper := runLoop(t, clock)
+		const (
+			span  = 2 * time.Second
+			pause = tickInterval / 2
+		)
+		for range int(span / pause) {
+			clock.advance(pause)
+			loop.FetchState(false)
+		}
+		loop.FetchState(false)
+		zfassert.True(t, "a tick at least each interval and pause", mapper.ticks.Load() >= int64(span/(tickInterval+pause)))
+	})
+}
