Acquire openings and probes only for the backend server that gets the packet

Cause: the comparison of two backend servers used up the probe of the one it did not choose, so that a backend server that had recovered was found later. A flow was refused when another goroutine took the opening of a cold backend server between the choice and the acquisition, though another one could take the flow: a refusal of work that could be served.

Change: the search only reads; choose acquires the opening and the probe of its choice and searches again if another goroutine was faster.

--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -100,6 +101,22 @@
 	})
 }
 
+// routeConcurrently routes each packet in its own goroutine and returns the actions.
+func routeConcurrently(mapper *zfcookie.Mapper, packets []zf.Packet, now time.Time) []zf.Action {
+	actions := make([]zf.Action, len(packets))
+	begin := make(chan struct{})
+	var routed sync.WaitGroup
+	for i, packet := range packets {
+		routed.Go(func() {
+			<-begin
+			actions[i] = mapper.Route(packet, now).Action
+		})
+	}
+	close(begin)
+	routed.Wait()
+	return actions
+}
+
 func TestColdRate(t *testing.T) {
 	cold := row(2, "orders", "one")
 	cold.State = zf.ServerCold
@@ -122,6 +139,24 @@
 		zfassert.AtMost(t, "new flows", float64(opened), 21)
 		zfassert.Equal(t, "refused", refused, 0)
 	})
+	t.Run("flows that open at once are placed on all that may get one", func(t *testing.T) {
+		const servers = 6
+		rows := make([]zf.ServerView, 0, servers)
+		packets := make([]zf.Packet, 0, servers)
+		for n := range servers {
+			server := row(uint64(n+1), "orders", "one")
+			server.State, server.Weight, server.OpeningRate = cold.State, cold.Weight, 1
+			rows = append(rows, server)
+			packets = append(packets, opening(n, 0))
+		}
+		mapper := newMapper(view(rows...))
+		for round := range 2000 {
+			now := start.Add(time.Duration(round) * time.Second)
+			for _, action := range routeConcurrently(mapper, packets, now) {
+				zfassert.Equal(t, fmt.Sprintf("action in round %d", round), action, zf.ActionForward)
+			}
+		}
+	})
 	t.Run("flows over the rate are refused if there is no other", func(t *testing.T) {
 		opened, refused := openManyFlows(newMapper(view(cold)))
 		zfassert.AtMost(t, "new flows", float64(opened), 21)
@@ -150,6 +185,22 @@
 		mapper.Route(opening(1, 1), start.Add(200*time.Millisecond))
 		zfassert.Equal(t, "new flows", openFlows(mapper, 200, start.Add(2*time.Second))[unanswered], 1)
 	})
+	t.Run("a probe is used up only by the server that gets the packet", func(t *testing.T) {
+		mapper := newMapper(view(servers[:2]...))
+		unanswered := mapper.Route(opening(1, 0), start)
+		answering := mapper.Route(opening(1, 1), start.Add(200*time.Millisecond))
+		setBusy := func(busy zf.Cookie, now time.Time) {
+			mapper.SetTotalLoads([]zf.ServerLoad{{
+				Cookie:   busy,
+				Requests: 100,
+			}}, now)
+		}
+		due := start.Add(2 * time.Second)
+		setBusy(unanswered.Cookie, due)
+		zfassert.Equal(t, "less loaded", mapper.Route(opening(2, 0), due).Number, answering.Number)
+		setBusy(answering.Cookie, due)
+		zfassert.Equal(t, "probed", mapper.Route(opening(3, 0), due).Number, unanswered.Number)
+	})
 	t.Run("an answer ends the probing", func(t *testing.T) {
 		mapper := newMapper(view(servers...))
 		opened := mapper.Route(opening(1, 0), start)
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -57,15 +57,28 @@
 // retransmission of an opening packet compares another pair in an order given by the
 // flow's hash, and chooses the one with the lower cost.
 func (p *pool) choose(o openingPacket) *server {
-	s := p.find(o)
-	if s != nil && s.OpeningRate > 0 && !s.stats.acquireOpening(s.OpeningRate, o.now) {
-		return nil // Another goroutine acquired the opening.
+	for {
+		s, probe := p.find(o)
+		if s == nil || o.acquire(s, probe) {
+			return s
+		}
+		// Another goroutine acquired the opening or the probe, so that find returns
+		// another backend server now.
+	}
+}
+
+// acquire acquires the opening of a cold backend server and, if probe is set, the probe
+// of one that is only probed. It returns false if another goroutine was faster.
+func (o openingPacket) acquire(s *server, probe bool) bool {
+	if probe && !s.stats.acquireProbe(o.now) {
+		return false
 	}
-	return s
+	return s.OpeningRate == 0 || s.stats.acquireOpening(s.OpeningRate, o.now)
 }
 
-// find selects the backend server for choose, but acquires no opening of a cold one.
-func (p *pool) find(o openingPacket) *server {
+// find selects the backend server for choose. probe is set if the backend server may
+// get the packet only as its probe, should it be one that is only probed.
+func (p *pool) find(o openingPacket) (s *server, probe bool) {
 	offset := 2 * o.retransmissions
 	for _, tier := range p.tiers {
 		if len(tier) == 0 {
@@ -76,11 +89,11 @@
 			continue
 		}
 		if s := o.lessLoaded(tier, offset); s != nil {
-			return s
+			return s, true
 		}
 		offset = 0
 	}
-	return p.fallback(o)
+	return p.fallback(o), false
 }
 
 // fallback returns the first backend server by tier and hash that may get a new flow,
@@ -100,15 +113,14 @@
 }
 
 // lessLoaded returns the one with the lower cost of the next two usable backend servers
-// of a tier, starting at an offset in the flow's order. If the other one is only
-// probed, its probe is used up as well.
+// of a tier, starting at an offset in the flow's order.
 func (o openingPacket) lessLoaded(tier []*server, offset int) *server {
 	var candidate *server
 	size := uint64(len(tier))
 	start, step := o.hash%size, stride(o.hash/size, size)
 	for i := uint64(offset); i < size; i++ {
 		s := tier[(start+i*step)%size]
-		if s.stats == o.previous || !o.allows(s) || !s.stats.acquireProbe(o.now) {
+		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) {
 			continue
 		}
 		if candidate == nil {
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -152,9 +152,14 @@
 	s.nextProbe.Store(now.Add(probeInterval).UnixNano())
 }
 
-// acquireProbe reports whether the backend server may get an opening packet. One that is
-// only probed may get one per probeInterval, to detect whether it answers again; if so,
-// the next one is allowed after probeInterval.
+// mayProbe reports whether the backend server may get an opening packet. One that is
+// only probed may get one per probeInterval, to detect whether it answers again.
+func (s *serverStats) mayProbe(now time.Time) bool {
+	return s.misses.Load() < probeMisses || now.UnixNano() >= s.nextProbe.Load()
+}
+
+// acquireProbe acquires what mayProbe allows: it returns false if the backend server is
+// only probed and its probe was acquired within probeInterval.
 func (s *serverStats) acquireProbe(now time.Time) bool {
 	if s.misses.Load() < probeMisses {
 		return true
