Count no silence of backend servers for the time a control instance was suspended

Cause: a control instance that goes on after a suspension reads the messages that waited for it before its next tick. They counted as contact with a majority now, so that the contact seemed never to have been interrupted, and the heartbeats that could not come in were taken for missed: after 3 s its backend servers were late, after 5 s silent, after 20 s gone, and it reported that to the others.

Change: a gap of half a second between two ticks restarts the contact.

--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -41,6 +41,9 @@
 	// quorumTimeout is the time without contact to a majority after which missing
 	// heartbeats of backend servers are no longer taken as a failure.
 	quorumTimeout = 1200 * time.Millisecond
+	// maxTickGap is the time between two ticks from which this instance is considered
+	// to have been suspended.
+	maxTickGap = 500 * time.Millisecond
 )
 
 // OperationID identifies an operation: a command or a read.
@@ -102,6 +105,7 @@
 	peerContact map[netip.AddrPort]time.Time
 	// quorumSince is the start of the current contact with a majority.
 	quorumSince time.Time
+	lastTick    time.Time
 }
 
 // New returns a world.
@@ -168,12 +172,16 @@
 	w.advanceOperations(now)
 }
 
-// updateQuorumContact updates quorumSince.
+// updateQuorumContact updates quorumSince. A suspension interrupts the contact although
+// messages that were received meanwhile count as contact now: heartbeats of backend
+// servers can't have come in.
 func (w *World) updateQuorumContact(now time.Time) {
+	suspended := now.Sub(w.lastTick) >= maxTickGap
+	w.lastTick = now
 	switch reachable := now.Sub(w.replica.LastContact(now)) < quorumTimeout; {
 	case !reachable:
 		w.quorumSince = time.Time{}
-	case w.quorumSince.IsZero():
+	case suspended || w.quorumSince.IsZero():
 		w.quorumSince = now
 	}
 }
--- a/core/zfcontroller/world_test.go
+++ b/core/zfcontroller/world_test.go
@@ -22,8 +22,10 @@
 type cluster struct {
 	now    time.Time
 	worlds []*zfcontroller.World
-	// down holds the instances that are unreachable.
-	down map[int]bool
+	// down holds the instances that are unreachable. suspended holds those that are
+	// suspended, with the messages that wait in their sockets.
+	down      map[int]bool
+	suspended map[int][]zfquorum.Message
 }
 
 func address(i int) netip.AddrPort {
@@ -33,8 +35,9 @@
 func newCluster(t testing.TB) *cluster {
 	t.Helper()
 	c := &cluster{
-		now:  start,
-		down: make(map[int]bool),
+		now:       start,
+		down:      make(map[int]bool),
+		suspended: make(map[int][]zfquorum.Message),
 	}
 	voters := make([]zfquorum.Node, 0, 3)
 	for i := range 3 {
@@ -98,7 +101,7 @@
 func (c *cluster) run(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(10 * time.Millisecond) {
 		for i, world := range c.worlds {
-			if !c.down[i] {
+			if _, suspended := c.suspended[i]; !c.down[i] && !suspended {
 				world.Tick(c.now)
 			}
 		}
@@ -114,15 +117,32 @@
 			}
 			for _, message := range world.Replica().TakeMessages() {
 				for j, other := range c.worlds {
-					if address(j) == message.Address && !c.down[i] && !c.down[j] {
-						other.Receive(message, c.now)
+					if address(j) != message.Address || c.down[i] || c.down[j] {
+						continue
 					}
+					if waiting, suspended := c.suspended[j]; suspended {
+						c.suspended[j] = append(waiting, message)
+						continue
+					}
+					other.Receive(message, c.now)
 				}
 			}
 		}
 	}
 }
 
+// suspend suspends an instance for some time. When it goes on, it reads the messages
+// that wait for it before its next tick.
+func (c *cluster) suspend(i int, d time.Duration) {
+	c.suspended[i] = nil
+	c.run(d)
+	for _, message := range c.suspended[i] {
+		c.worlds[i].Receive(message, c.now)
+	}
+	delete(c.suspended, i)
+	c.worlds[i].Tick(c.now)
+}
+
 func (c *cluster) leader(t testing.TB) int {
 	t.Helper()
 	for i, world := range c.worlds {
@@ -318,6 +338,38 @@
 	})
 }
 
+func TestSuspension(t *testing.T) {
+	// suspend announces a backend server to an instance and then suspends the instance.
+	// It returns the row of the backend server.
+	suspend := func(t testing.TB, role string, d time.Duration) *zfregistry.Row {
+		t.Helper()
+		c := newCluster(t)
+		i := c.leader(t)
+		if role == "follower" {
+			i = (i + 1) % 3
+		}
+		c.worlds[i].Registry().Announce(zf.Announcement{
+			Server:   "s1",
+			Service:  "orders",
+			Address:  netip.MustParseAddrPort("10.1.0.1:80"),
+			State:    zf.ServerWarm,
+			Sequence: 1,
+			Born:     start,
+		}, c.now)
+		c.suspend(i, d)
+		return c.worlds[i].Registry().Find("s1")
+	}
+	for _, role := range []string{"leader", "follower"} {
+		for _, d := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 10 * time.Second, 20 * time.Second} {
+			t.Run(role+" for "+d.String(), func(t *testing.T) {
+				row := suspend(t, role, d)
+				zfassert.Equal(t, "state", row.Status, zf.ServerWarm)
+				zfassert.True(t, "not late", !row.Late)
+			})
+		}
+	}
+}
+
 func TestOutliers(t *testing.T) {
 	c := newCluster(t)
 	world := c.worlds[0]
