Reset no flow for packets that waited while the instance was suspended

Cause: a retransmission before a suspension and one that waited in the socket during it looked like two misses over the whole suspension, so that a flow of a living backend server whose heartbeats were late was reset when the first packets were read before the next tick.

Measured: the case of TestDeadServer fails before and passes after. The test now runs the mapper's ticks between its packets, as the control goroutine does; no other case changed.

--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -32,10 +32,11 @@
 	stats map[zf.ServerIncarnation]*serverStats
 	// totalsKnown is true while the total loads are up to date, totalsUpdated is when
 	// they were last received.
-	totalsKnown     atomic.Bool
-	totalsUpdated   time.Time
-	revision        uint64
-	lastMaintenance time.Time
+	totalsKnown   atomic.Bool
+	totalsUpdated time.Time
+	revision      uint64
+	// lastMaintenance is when the periodic tasks last ran, in Unix nanoseconds.
+	lastMaintenance atomic.Int64
 	// endedFlows holds the last packets of ended flows whose callers have to be sent
 	// resets.
 	endedFlows []zf.Packet
@@ -147,8 +148,8 @@
 
 // Tick implements zinniafront.Mapper.
 func (m *Mapper) Tick(now time.Time, view zf.View) []zf.Envelope {
-	if now.Sub(m.lastMaintenance) >= maintenanceInterval {
-		m.lastMaintenance = now
+	if now.UnixNano()-m.lastMaintenance.Load() >= int64(maintenanceInterval) {
+		m.lastMaintenance.Store(now.UnixNano())
 		if now.Sub(m.totalsUpdated) >= totalsTimeout {
 			m.totalsKnown.Store(false)
 		}
@@ -168,6 +169,12 @@
 	return nil
 }
 
+// suspended reports whether the periodic tasks are overdue so that this instance is
+// considered to have been suspended: packets that it receives now may be old.
+func (m *Mapper) suspended(now time.Time) bool {
+	return now.UnixNano()-m.lastMaintenance.Load() >= int64(maxSweepGap)
+}
+
 // publish builds the snapshot of a view and makes it current.
 func (m *Mapper) publish(view zf.View, now time.Time) {
 	next := &snapshot{
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -219,6 +219,16 @@
 	})
 }
 
+// tickUntil runs a mapper's ticks between two times, as the control goroutine does, and
+// returns the latter.
+func tickUntil(mapper *zfcookie.Mapper, v zf.View, from, until time.Time) time.Time {
+	const interval = 100 * time.Millisecond
+	for now := from.Add(interval); now.Before(until); now = now.Add(interval) {
+		mapper.Tick(now, v)
+	}
+	return until
+}
+
 func TestDeadServer(t *testing.T) {
 	late := row(1, "orders", "one")
 	late.Late = true
@@ -233,7 +243,10 @@
 		next bool
 		// suspend is how long the instance is suspended before its next tick.
 		suspend time.Duration
-		action  zf.Action
+		// early has a retransmission that was queued during the suspension be read
+		// before the tick.
+		early  bool
+		action zf.Action
 	}{
 		{
 			name:   "unanswered packets alone reset no flow",
@@ -282,6 +295,15 @@
 			suspend: time.Second,
 			action:  zf.ActionForward,
 		},
+		{
+			name:    "packets that are read before the first tick after a suspension reset no flow",
+			server:  late,
+			repeat:  1,
+			pause:   200 * time.Millisecond,
+			suspend: time.Second,
+			early:   true,
+			action:  zf.ActionForward,
+		},
 		{
 			name:   "an answer to any caller prevents the reset",
 			server: late,
@@ -305,10 +327,13 @@
 			now := start
 			for range c.repeat + 1 {
 				mapper.Route(data(1, cookie, 7), now)
-				now = now.Add(c.pause)
+				now = tickUntil(mapper, view(c.server), now, now.Add(c.pause))
 			}
 			if c.suspend > 0 {
 				now = now.Add(c.suspend)
+				if c.early {
+					zfassert.Equal(t, "action before the tick", mapper.Route(data(1, cookie, 7), now).Action, c.action)
+				}
 				mapper.Tick(now, view(c.server))
 			}
 			if c.answer {
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -60,7 +60,7 @@
 		return reset(zf.ReasonServerDead)
 	}
 	m.observe(server, &packet, now)
-	if server.Late && server.stats.unresponsive(now) {
+	if server.Late && server.stats.unresponsive(now) && !m.suspended(now) {
 		return reset(zf.ReasonServerDead)
 	}
 	return forward(server)
