Find a data centre that falls silent by the silence of its backend servers together

Cause: when a data centre loses power its callers come to the instances of others, each of which judged each backend server alone: by two retransmissions and overdue heartbeats (3 s). Deadlines of 2.5 s pass before that.

Change: requests to three backend servers of a data centre that wait for 0.4 s, with no answer of the data centre since, while another one answers, make it unresponsive for this instance: waiting callers are sent resets, further requests are refused at once, new flows go elsewhere. Any answer ends it. Reason centreunresponsive, event 5006.

--- /dev/null
+++ b/core/zfcookie/centre.go
@@ -0,0 +1,114 @@
+package zfcookie
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	zf "zinniafront"
+)
+
+const (
+	// unresponsiveServers is the number of backend servers of a data centre that must
+	// have left a request unanswered before the data centre is unresponsive.
+	unresponsiveServers = 3
+	// unresponsiveContrast is how many times more of them there must be than requests
+	// that wait as long in other data centres. Where all requests take long, the silence
+	// of one data centre proves nothing.
+	unresponsiveContrast = 4
+	// maxWait bounds the age of the requests that count. The callers of older ones may
+	// have given up.
+	maxWait = 3 * answerTimeout
+	// unresponsiveTimeout is how long a data centre counts as unresponsive. Packets sent
+	// afterwards show whether it answers again.
+	unresponsiveTimeout = time.Second
+)
+
+// centreStats holds this instance's statistics of the backend servers of one data
+// centre. They fail together when the data centre loses power or is cut off, which their
+// common silence shows long before each one's heartbeats are overdue.
+type centreStats struct {
+	name zf.CentreName
+	// lastAnswer is when any of the backend servers last answered a caller,
+	// unresponsiveAt when the data centre was last found unresponsive, in Unix
+	// nanoseconds.
+	lastAnswer     atomic.Int64
+	unresponsiveAt atomic.Int64
+}
+
+// recordAnswer records that a backend server of the data centre answered a caller.
+func (c *centreStats) recordAnswer(now time.Time) {
+	// Most answers are not stored: the variable is shared by all traffic goroutines.
+	if at := now.UnixNano(); at-c.lastAnswer.Load() >= int64(time.Millisecond) {
+		c.lastAnswer.Store(at)
+	}
+}
+
+// unresponsive reports whether the data centre was found unresponsive and has not
+// answered since. With late, when control instances miss heartbeats as well, this holds
+// until the heartbeats are back, otherwise for unresponsiveTimeout.
+func (c *centreStats) unresponsive(late bool, now time.Time) bool {
+	at := c.unresponsiveAt.Load()
+	return at > c.lastAnswer.Load() && (late || now.UnixNano()-at < int64(unresponsiveTimeout))
+}
+
+// waitingRequests describes the requests that have waited for their answers for
+// answerTimeout, but not for maxWait.
+type waitingRequests struct {
+	// servers counts, for each data centre that has not answered any later request, the
+	// backend servers at which requests wait.
+	servers map[*centreStats]int
+	// requests counts the requests of each data centre.
+	requests map[*centreStats]int
+	total    int
+}
+
+// detectUnresponsiveCentres finds the data centres whose backend servers have fallen
+// silent together. The callers whose requests wait there are to be sent resets.
+func (m *Mapper) detectUnresponsiveCentres(now time.Time) {
+	waiting := m.requests.waiting(now)
+	for centre, servers := range waiting.servers {
+		elsewhere := waiting.total - waiting.requests[centre]
+		if servers < unresponsiveServers || servers < unresponsiveContrast*elsewhere || !m.otherCentreAnswers(centre, now) {
+			continue
+		}
+		centre.unresponsiveAt.Store(now.UnixNano())
+		m.endedFlows = append(m.endedFlows, m.requests.takeWaiting(centre)...)
+	}
+}
+
+// otherCentreAnswers reports whether another data centre has answered recently. If none
+// has, this instance may be the one that is cut off.
+func (m *Mapper) otherCentreAnswers(centre *centreStats, now time.Time) bool {
+	for _, other := range m.centres {
+		if other != centre && now.UnixNano()-other.lastAnswer.Load() < int64(answerTimeout) {
+			return true
+		}
+	}
+	return false
+}
+
+// UnresponsiveCentres implements zinniafront.Observer.
+func (m *Mapper) UnresponsiveCentres(now time.Time) []zf.CentreName {
+	var names []zf.CentreName
+	for _, centre := range m.centres {
+		if centre.unresponsive(false, now) {
+			names = append(names, centre.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// centreOf returns the statistics of a data centre, which are kept for good: there are
+// few data centres.
+func (m *Mapper) centreOf(name zf.CentreName) *centreStats {
+	centre := m.centres[name]
+	if centre == nil {
+		centre = &centreStats{
+			name: name,
+		}
+		m.centres[name] = centre
+	}
+	return centre
+}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -30,6 +30,9 @@
 	// stats holds the statistics of each backend server. The map belongs to the control
 	// goroutine.
 	stats map[zf.ServerIncarnation]*serverStats
+	// centres holds the statistics of each data centre. The map belongs to the control
+	// goroutine.
+	centres map[zf.CentreName]*centreStats
 	// totalsKnown is true while the total loads are up to date, totalsUpdated is when
 	// they were last received.
 	totalsKnown   atomic.Bool
@@ -125,6 +128,8 @@
 	return &Mapper{
 		config: config,
 		stats:  make(map[zf.ServerIncarnation]*serverStats),
+
+		centres: make(map[zf.CentreName]*centreStats),
 	}
 }
 
@@ -157,10 +162,11 @@
 		for _, stats := range m.stats {
 			stats.decay()
 			if suspended {
-				stats.recordAnswer() // Resets the misses: retransmissions were queued during the suspension.
+				stats.recordAnswer(now) // Resets the misses: retransmissions were queued during the suspension.
 			}
 		}
 		m.endFlows(now)
+		m.detectUnresponsiveCentres(now)
 	}
 	if view.RoutesKnown && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
@@ -221,7 +227,9 @@
 	incarnation := zf.NewServerIncarnation(row.Name, row.Born)
 	stats := m.stats[incarnation]
 	if stats == nil {
-		stats = &serverStats{}
+		stats = &serverStats{
+			centre: m.centreOf(row.Centre),
+		}
 	}
 	next[incarnation] = stats
 	return &server{
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -120,7 +120,7 @@
 	start, step := o.hash%size, stride(o.hash/size, size)
 	for i := uint64(offset); i < size; i++ {
 		s := tier[(start+i*step)%size]
-		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) {
+		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) || s.stats.centre.unresponsive(s.Late, o.now) {
 			continue
 		}
 		if candidate == nil {
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -139,12 +139,59 @@
 		if row.stats == nil || !dead[row.stats] || row.opening || now.UnixNano()-row.lastData >= int64(flowIdleTimeout) {
 			continue
 		}
-		last = append(last, zf.Packet{
-			Flow:         row.flow,
-			Sequence:     row.sequence,
-			Acknowledged: row.lastAcknowledged,
-		})
-		*row = requestRow{}
+		last = append(last, row.takeLastPacket())
+	}
+	return last
+}
+
+// takeLastPacket empties a row and returns the last packet of its flow.
+func (r *requestRow) takeLastPacket() zf.Packet {
+	last := zf.Packet{
+		Flow:         r.flow,
+		Sequence:     r.sequence,
+		Acknowledged: r.lastAcknowledged,
+	}
+	*r = requestRow{}
+	return last
+}
+
+// waiting returns the requests that wait for their answers.
+func (t *requestTable) waiting(now time.Time) waitingRequests {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var result waitingRequests
+	counted := make(map[*serverStats]bool)
+	for i := range t.rows {
+		row := &t.rows[i]
+		if age := now.UnixNano() - row.requestedAt; row.requestedAt == 0 || age < int64(answerTimeout) || age >= int64(maxWait) {
+			continue
+		}
+		if result.servers == nil {
+			result.servers = make(map[*centreStats]int)
+			result.requests = make(map[*centreStats]int)
+		}
+		centre := row.stats.centre
+		result.total++
+		result.requests[centre]++
+		if row.requestedAt > centre.lastAnswer.Load() && !counted[row.stats] {
+			counted[row.stats] = true
+			result.servers[centre]++
+		}
+	}
+	return result
+}
+
+// takeWaiting removes the flows whose requests have waited since the last answer of a
+// data centre, and returns their last packets.
+func (t *requestTable) takeWaiting(centre *centreStats) []zf.Packet {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var last []zf.Packet
+	for i := range t.rows {
+		row := &t.rows[i]
+		if row.requestedAt != 0 && row.stats.centre == centre && row.requestedAt > centre.lastAnswer.Load() {
+			last = append(last, row.takeLastPacket())
+		}
 	}
 	return last
 }
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -58,6 +58,8 @@
 		return drop(zf.ReasonUnknownCookie)
 	case server.State == zf.ServerGone && server.Proven:
 		return reset(zf.ReasonServerDead)
+	case packet.PayloadSize > 0 && server.stats.centre.unresponsive(server.Late, now):
+		return reset(zf.ReasonCentreUnresponsive) // Not observed: it proves nothing.
 	}
 	m.observe(server, &packet, now)
 	if server.Late && server.stats.unresponsive(now) && !m.suspended(now) {
@@ -75,7 +77,7 @@
 		m.requests.recordEnd(hash, s.stats, packet.Acknowledged)
 		return
 	case packet.PayloadSize == 0:
-		s.stats.recordAnswer() // A caller acknowledges only data it has received.
+		s.stats.recordAnswer(now) // A caller acknowledges only data it has received.
 		m.requests.recordAcknowledgement(hash, s.stats, packet.Acknowledged)
 		return
 	}
@@ -83,7 +85,7 @@
 	retransmitted, answered := m.requests.recordData(hash, s.stats, packet, now)
 	switch {
 	case answered:
-		s.stats.recordAnswer()
+		s.stats.recordAnswer(now)
 	case retransmitted:
 		s.stats.recordMiss(now)
 	}
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -38,6 +38,8 @@
 	// reportsLeft is how many more times the counts are reported even if no further
 	// request is unanswered. It belongs to the control goroutine.
 	reportsLeft int
+	// centre holds the statistics of the backend server's data centre.
+	centre *centreStats
 	// termination belongs to the control goroutine.
 	termination termination
 }
@@ -120,10 +122,11 @@
 }
 
 // recordAnswer records that the backend server answered a caller.
-func (s *serverStats) recordAnswer() {
+func (s *serverStats) recordAnswer(now time.Time) {
 	if s.misses.Load() != 0 {
 		s.misses.Store(0)
 	}
+	s.centre.recordAnswer(now)
 }
 
 // acquireOpening reports whether a cold backend server that sustains rate new flows per
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -127,6 +127,12 @@
 // callers have to be sent resets.
 func (w *World) EndedFlows() []zf.Packet { return w.config.Observer.EndedFlows() }
 
+// UnresponsiveCentres returns the data centres whose backend servers have stopped
+// answering together.
+func (w *World) UnresponsiveCentres(now time.Time) []zf.CentreName {
+	return w.config.Observer.UnresponsiveCentres(now)
+}
+
 // Loads returns the requests to each backend server since the last report, or nil if
 // that was less than loadInterval ago.
 func (w *World) Loads(now time.Time) []zf.ServerLoad {
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -70,11 +70,12 @@
 
 // The events of an instance with the forward role, besides those of an entry instance.
 var (
-	FlowOpened         = register(5001, "flow opened", log.InfoLevel)
-	FlowReset          = register(5002, "flow reset", log.InfoLevel)
-	PacketDropped      = register(5003, "packet dropped", log.InfoLevel)
-	LinesSuppressed    = register(5004, "log lines left out", log.InfoLevel)
-	ServerStateChanged = register(5005, "backend server changed", log.InfoLevel)
+	FlowOpened          = register(5001, "flow opened", log.InfoLevel)
+	FlowReset           = register(5002, "flow reset", log.InfoLevel)
+	PacketDropped       = register(5003, "packet dropped", log.InfoLevel)
+	LinesSuppressed     = register(5004, "log lines left out", log.InfoLevel)
+	ServerStateChanged  = register(5005, "backend server changed", log.InfoLevel)
+	CentresUnresponsive = register(5006, "data centres unresponsive", log.WarnLevel)
 )
 
 // The events of requests.
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,8 @@
 	// loggedContentRevision the registry's content revision at that time.
 	loggedServers         map[zf.ServerID]loggedServer
 	loggedContentRevision uint64
+	// loggedCentres holds the unresponsive data centres last logged.
+	loggedCentres []zf.CentreName
 	// stopBegunClosed is set once stopBegun is closed.
 	stopBegunClosed bool
 }
@@ -301,6 +304,10 @@
 		l.stopBegunClosed = true
 		close(l.stopBegun)
 	}
+	if centres := world.UnresponsiveCentres(l.config.Clock.Now()); !slices.Equal(centres, l.loggedCentres) {
+		l.loggedCentres = centres
+		l.config.Logger.Entry(zfevent.CentresUnresponsive).Strs("centres", centreNames(centres)).Msg("")
+	}
 	if world.Registry().ContentRevision() == l.loggedContentRevision {
 		return
 	}
@@ -319,3 +326,11 @@
 			Str("centre", string(row.Centre)).Uint64("sequence", row.Sequence).Msg("")
 	}
 }
+
+func centreNames(centres []zf.CentreName) []string {
+	names := make([]string, len(centres))
+	for i, centre := range centres {
+		names[i] = string(centre)
+	}
+	return names
+}
--- a/ports.go
+++ b/ports.go
@@ -56,9 +56,13 @@
 	// Loads returns the requests to each backend server since the last call.
 	Loads() []ServerLoad
 	// EndedFlows returns the last packet of each open flow whose backend server
-	// was found dead since the last call. The callers have not been notified
+	// was found dead since the last call, or in a data centre found
+	// unresponsive. The callers have not been notified
 	// yet.
 	EndedFlows() []Packet
+	// UnresponsiveCentres returns the data centres whose backend servers have
+	// stopped answering together.
+	UnresponsiveCentres(now time.Time) []CentreName
 	// SetTotalLoads sets the loads summed over all entry instances of the data
 	// centre.
 	SetTotalLoads(loads []ServerLoad, now time.Time)
