Have instances of a lost data centre wait until half are back before they enter

Cause: while fewer than half of a data centre's instances are ready the fabric sends packets to all of them, dead ones included; while none is ready it uses the nearest data centre. After a loss of power of nl-west-c at 3.4 s the fabric had moved its callers to other data centres by 4.8 s. At 5.2 s an instance added in nl-west-c became ready, and from then until 10.8 s four of five packets went to dead instances.

Change: control instances count the entry instances of each data centre and tell one that starts to wait (FetchReply.Wait) while fewer than half of the expected ones are able to take traffic and another data centre serves in place of it. New table core/zfrotation, event 2012.

--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -19,6 +19,7 @@
 	"zinniafront/core/zfpermit"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrotation"
 )
 
 // ErrUnavailable is returned if the control state can't be read or changed at this
@@ -93,6 +94,7 @@
 	outliers             *zfoutlier.Table
 	loads                *zfload.Table
 	stopPermits          *zfpermit.Table
+	rotation             *zfrotation.Table
 	lastOutlierDetection time.Time
 	newOutliers          []zfoutlier.Outlier
 	stateMachine         *zfcontrol.StateMachine
@@ -117,6 +119,7 @@
 		outliers:    zfoutlier.New(config.Outlier),
 		loads:       zfload.New(),
 		stopPermits: zfpermit.New(),
+		rotation:    zfrotation.New(),
 
 		peerContact: make(map[netip.AddrPort]time.Time),
 	}
@@ -131,6 +134,10 @@
 // StopPermits returns the table of stop permits of entry instances.
 func (w *World) StopPermits() *zfpermit.Table { return w.stopPermits }
 
+// Rotation returns the table of entry instances by which those that start enter the
+// rotation.
+func (w *World) Rotation() *zfrotation.Table { return w.rotation }
+
 // Registry returns the table of backend servers.
 func (w *World) Registry() *zfregistry.Table { return w.registry }
 
@@ -168,6 +175,7 @@
 	w.updateQuorumContact(now)
 	w.registry.Tick(now, w.quorumSince)
 	w.stopPermits.Tick(now)
+	w.rotation.Tick(now)
 	w.detectOutliers(now)
 	w.advanceOperations(now)
 }
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -55,6 +55,8 @@
 	Loads []zf.ServerLoad
 	// StopPermitted grants the stop permit that this instance requested.
 	StopPermitted bool
+	// Wait is set if this instance must not enter the rotation yet.
+	Wait bool
 	// State is nil if it has not changed.
 	State *State
 }
@@ -80,6 +82,7 @@
 	// restored is when each data centre was last brought back into service.
 	restored map[zf.CentreName]time.Time
 	stop     plannedStop
+	entry    rotationEntry
 	// loadsReported is when the loads of backend servers were last reported.
 	loadsReported time.Time
 	viewRevisions revisions
@@ -169,6 +172,7 @@
 	w.synced = w.synced || !reply.Changes.More
 	w.stop.begun = w.stop.begun || w.stop.requested && reply.StopPermitted
 	w.tickMapper(now)
+	w.entry.update(w.Able(), reply.Wait, now)
 	return changed
 }
 
@@ -190,7 +194,11 @@
 }
 
 // Ready reports whether the instance may get traffic.
-func (w *World) Ready() bool {
+func (w *World) Ready() bool { return w.Able() && w.entry.entered }
+
+// Able reports whether the instance could take traffic: it takes it, or waits until it
+// may enter the rotation.
+func (w *World) Able() bool {
 	return !w.stop.begun && !w.isolated && w.synced && w.state.Bundle != nil && w.config.Mapper.Synced()
 }
 
@@ -204,6 +212,7 @@
 	w.registry.Tick(now, time.Time{})
 	w.beginStopIfDue(now)
 	w.tickMapper(now)
+	w.entry.update(w.Able(), now.Sub(w.lastReply) < permitTimeout, now)
 }
 
 // tickMapper runs the mapper's tick, with a new view if the inputs of the view changed.
--- a/core/zfforward/world_test.go
+++ b/core/zfforward/world_test.go
@@ -227,6 +227,9 @@
 	return nil
 }
 
+// Synced implements zinniafront.Mapper.
+func (*viewRecorder) Synced() bool { return true }
+
 func TestColdShare(t *testing.T) {
 	recorder := &viewRecorder{}
 	world := zfforward.New(zfforward.Config{
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -8,6 +8,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrotation"
 )
 
 // FeedData provides the data of a feed. It belongs to the control goroutine.
@@ -34,6 +35,11 @@
 	// StopPermitted reports whether an entry instance that was asked to stop has a stop
 	// permit, and grants one if that is possible now.
 	StopPermitted(instance zf.InstanceName, now time.Time) bool
+	// MayEnter reports whether an entry instance that is able to take traffic may enter
+	// the rotation.
+	MayEnter(instance zf.InstanceName, centre zf.CentreName) bool
+	// EntryCounts returns the numbers of entry instances that report to this one.
+	EntryCounts(now time.Time) []zfrotation.Count
 	// Controls returns the known control instances; one that is lost stays among them
 	// for a while.
 	Controls(now time.Time) []zfquorum.Node
@@ -221,7 +227,7 @@
 		}
 		changed := latest > p.args.Cursor && !now.Before(p.notBefore)
 		due := !f.Recognizes(p.args) || p.args.More || changed || !p.args.Control && index > p.args.Index ||
-			f.stopPermitted(p.args, now)
+			f.stopPermitted(p.args, now) || p.args.Able && !p.args.Ready && !f.mustWait(p.args)
 		if !due && now.Before(p.deadline) {
 			return false
 		}
@@ -245,6 +251,10 @@
 		Near:     f.isLocalControl(args),
 		Entries:  f.entryCount(!args.Control, now),
 		Turn:     f.stopPermitted(args, now),
+		Wait:     f.mustWait(args),
+	}
+	if args.Control {
+		reply.Counts = f.config.Data.EntryCounts(now)
 	}
 	if f.isLocalControl(args) || f.config.SharePeers && args.Centre == f.config.Centre && args.Loads != nil {
 		reply.Loads = f.config.Data.Loads(!args.Control, now)
@@ -262,6 +272,12 @@
 	return f.config.SharePeers && args.Control && args.Centre == f.config.Centre
 }
 
+// mustWait reports whether a fetch is from an entry instance that must not enter the
+// rotation yet.
+func (f *Feed) mustWait(args FetchArgs) bool {
+	return !args.Control && !args.Ready && !f.config.Data.MayEnter(args.Instance, args.Centre)
+}
+
 // stopPermitted reports whether a fetch is from an instance that waits for a stop
 // permit and holds it.
 func (f *Feed) stopPermitted(args FetchArgs, now time.Time) bool {
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -9,6 +9,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
 	"zinniafront/lab/zfassert"
 )
@@ -22,6 +23,7 @@
 	contact       time.Duration
 	loads         []zf.ServerLoad
 	stopPermitted bool
+	mustWait      bool
 }
 
 func newTestFeedData() *testFeedData {
@@ -55,6 +57,15 @@
 
 func (s *testFeedData) StopPermitted(zf.InstanceName, time.Time) bool { return s.stopPermitted }
 
+func (s *testFeedData) MayEnter(zf.InstanceName, zf.CentreName) bool { return !s.mustWait }
+
+func (s *testFeedData) EntryCounts(time.Time) []zfrotation.Count {
+	return []zfrotation.Count{{
+		Centre: "one",
+		Known:  1,
+	}}
+}
+
 func (s *testFeedData) Controls(time.Time) []zfquorum.Node { return nil }
 
 func (s *testFeedData) announce(sequence uint64) {
@@ -166,6 +177,41 @@
 	})
 }
 
+func TestRotationEntry(t *testing.T) {
+	s := newTestFeedData()
+	s.mustWait = true
+	feed := newFeed(s)
+	able := zfcluster.FetchArgs{
+		Instance: "e1",
+		Centre:   "one",
+		Source:   7,
+		Able:     true,
+		Hold:     time.Second,
+	}
+	t.Run("a reply tells an instance that starts to wait", func(t *testing.T) {
+		zfassert.True(t, "wait", assertAnswered(t, feed, zfcluster.FetchArgs{}).Wait)
+	})
+	t.Run("its fetch is answered once it may enter", func(t *testing.T) {
+		assertHeld(t, feed, able)
+		s.mustWait = false
+		zfassert.True(t, "no wait", !assertAnswered(t, feed, able).Wait)
+		s.mustWait = true
+	})
+	t.Run("one in the rotation is not told to wait", func(t *testing.T) {
+		zfassert.True(t, "no wait", !assertAnswered(t, feed, zfcluster.FetchArgs{
+			Ready: true,
+		}).Wait)
+	})
+	t.Run("control instances get the counts of entry instances", func(t *testing.T) {
+		reply := assertAnswered(t, feed, zfcluster.FetchArgs{
+			Control: true,
+		})
+		zfassert.Equal(t, "counts", len(reply.Counts), 1)
+		zfassert.True(t, "no wait", !reply.Wait)
+		zfassert.Equal(t, "counts for an entry instance", len(assertAnswered(t, feed, zfcluster.FetchArgs{}).Counts), 0)
+	})
+}
+
 func TestLoads(t *testing.T) {
 	s := newTestFeedData()
 	s.loads = make([]zf.ServerLoad, 2)
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -14,6 +14,7 @@
 	"zinniafront/core/zfcontrol"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrotation"
 )
 
 // serviceName is the net/rpc service name.
@@ -97,6 +98,9 @@
 	// waits for a stop permit.
 	Ready    bool
 	Stopping bool
+	// Able is set if the sender could take traffic: it takes it, or waits until it may
+	// enter the rotation.
+	Able bool
 	// Hold is how long the reply may be held back while there are no changes.
 	Hold time.Duration
 }
@@ -130,6 +134,11 @@
 	// Entries is the number of known entry instances; in a reply to a control instance,
 	// that of the replying instance's own subscribers.
 	Entries int
+	// Wait is set if the sender of the fetch must not enter the rotation yet.
+	Wait bool
+	// Counts are the entry instances of each data centre that report to the replying
+	// instance, in a reply to a control instance.
+	Counts []zfrotation.Count
 }
 
 // Handler handles the calls of other instances.
--- a/io/zfcluster/subscriber.go
+++ b/io/zfcluster/subscriber.go
@@ -76,6 +76,8 @@
 	// permit.
 	Ready    bool
 	Stopping bool
+	// Able is set if this instance could take traffic.
+	Able bool
 }
 
 // Subscriber fetches changes from one control instance, and switches to another when
@@ -270,6 +272,7 @@
 		Rows:     s.rowsToSend,
 		Ready:    state.Ready,
 		Stopping: state.Stopping,
+		Able:     state.Able,
 		Hold:     hold,
 	}, hold+margin)
 	s.config.FetchTime.Update(s.config.Clock.Now().Sub(start))
--- a/io/zfcontrollerloop/feed.go
+++ b/io/zfcontrollerloop/feed.go
@@ -8,6 +8,7 @@
 	"zinniafront/core/zfpermit"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
 )
 
@@ -60,6 +61,16 @@
 	return d.world.StopPermits().Acquire(instance, now)
 }
 
+// MayEnter implements zfcluster.FeedData.
+func (d feedData) MayEnter(instance zf.InstanceName, centre zf.CentreName) bool {
+	return d.world.Rotation().MayEnter(instance, centre)
+}
+
+// EntryCounts implements zfcluster.FeedData.
+func (d feedData) EntryCounts(now time.Time) []zfrotation.Count {
+	return d.world.Rotation().Counts(now)
+}
+
 // Controls implements zfcluster.FeedData.
 func (d feedData) Controls(now time.Time) []zfquorum.Node { return d.world.Replica().Nodes(now) }
 
@@ -80,6 +91,12 @@
 				Ready:    args.Ready,
 				Stopping: args.Stopping,
 			}, now)
+			l.config.World.Rotation().Record(zfrotation.Report{
+				Instance: args.Instance,
+				Centre:   args.Centre,
+				Able:     args.Able || args.Ready,
+				Ready:    args.Ready,
+			}, now)
 		}
 		l.feed.AddFetch(args, reply, now)
 	}) {
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -17,6 +17,7 @@
 	"zinniafront/core/zfcontroller"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
 	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
@@ -320,6 +321,7 @@
 		if reply.Loads != nil {
 			l.config.World.Loads().SetRemote(reply.Source, reply.Loads, now)
 		}
+		l.config.World.Rotation().SetRemote(zfrotation.Source(reply.Source), reply.Counts, now)
 		l.feed.RecordRemote(from, reply, now)
 	})
 }
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -41,7 +41,8 @@
 	ControlReachable   = register(2010, "control instance reached", log.InfoLevel)
 	// StopBegun is logged when the instance waits for a stop permit no longer and is no
 	// longer ready.
-	StopBegun = register(2011, "planned stop begun", log.InfoLevel)
+	StopBegun  = register(2011, "planned stop begun", log.InfoLevel)
+	EntryWaits = register(2012, "waiting to enter the rotation", log.InfoLevel)
 )
 
 // The events of a control instance.
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -9,6 +9,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
 )
 
@@ -60,6 +61,13 @@
 // without a control instance no stops are coordinated.
 func (l *Loop) StopPermitted(zf.InstanceName, time.Time) bool { return true }
 
+// MayEnter implements zfcluster.FeedData. Without a control instance no instance waits for
+// others.
+func (l *Loop) MayEnter(zf.InstanceName, zf.CentreName) bool { return true }
+
+// EntryCounts implements zfcluster.FeedData.
+func (l *Loop) EntryCounts(time.Time) []zfrotation.Count { return nil }
+
 // Controls implements zfcluster.FeedData.
 func (l *Loop) Controls(time.Time) []zfquorum.Node { return l.quorum.controls }
 
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -65,6 +65,9 @@
 	loggedContentRevision uint64
 	// loggedCentres holds the unresponsive data centres last logged.
 	loggedCentres []zf.CentreName
+	// loggedWaiting is set if the last logged state is that this instance waits to enter
+	// the rotation.
+	loggedWaiting bool
 	// stopBegunClosed is set once stopBegun is closed.
 	stopBegunClosed bool
 }
@@ -212,6 +215,7 @@
 	}
 	l.do(func(now time.Time) {
 		state.Ready = l.config.World.Ready()
+		state.Able = l.config.World.Able()
 		state.Stopping = l.config.World.StopPending()
 		state.Outcomes = l.config.World.Outcomes()
 		state.Loads = l.config.World.Loads(now)
@@ -231,6 +235,7 @@
 		EntryCount:    reply.Entries,
 		Loads:         reply.Loads,
 		StopPermitted: reply.Turn,
+		Wait:          reply.Wait,
 	}
 	if reply.Index > l.index.Load() {
 		state, err := l.decodeState(reply)
@@ -300,6 +305,10 @@
 		l.ready.Store(ready)
 		l.config.Logger.Entry(zfevent.ReadyChanged).Bool("ready", ready).Bool("isolated", world.Isolated()).Msg("")
 	}
+	if waiting := world.WaitsToEnter(); waiting != l.loggedWaiting {
+		l.loggedWaiting = waiting
+		l.config.Logger.Entry(zfevent.EntryWaits).Bool("waits", waiting).Msg("")
+	}
 	if world.Stopping() && !l.stopBegunClosed {
 		l.stopBegunClosed = true
 		close(l.stopBegun)
