Put a bundle in force that was accepted before, and name the newer one on a stale roll

Cause: put returned 'already' for a bundle that had been accepted but not rolled, so that it never came into force although the operator was told so. A roll to an unknown version below the one in force answered with that version and an empty digest.

Change: put rolls a bundle that is already accepted; a stale roll answers with the bundle in force.

Measured: three cases of TestStateMachine fail before and pass after.

--- a/core/zfcontrol/statemachine.go
+++ b/core/zfcontrol/statemachine.go
@@ -253,7 +253,7 @@
 
 func (m *StateMachine) put(command PutCommand) Outcome {
 	outcome := m.accept(command.AcceptCommand)
-	if outcome.Status != StatusDone {
+	if outcome.Status != StatusDone && outcome.Status != StatusAlready {
 		return outcome
 	}
 	outcome = m.roll(RollCommand{
@@ -288,22 +288,17 @@
 
 func (m *StateMachine) roll(command RollCommand) Outcome {
 	accepted := m.findBundle(command.Version)
-	if accepted == nil {
-		status := StatusUnknown
-		if command.Version < m.state.InForce {
-			status = StatusStale
-		}
-		return Outcome{
-			Status:  status,
-			Version: command.Version,
-		}
-	}
-	if accepted.Rolled != 0 {
+	switch {
+	case accepted != nil && accepted.Rolled != 0:
 		return accepted.outcome(StatusAlready, accepted.Rolled)
-	}
-	if command.Version < m.state.InForce {
+	case command.Version < m.state.InForce:
 		newest := m.findBundle(m.state.InForce)
 		return newest.outcome(StatusStale, newest.Rolled)
+	case accepted == nil:
+		return Outcome{
+			Status:  StatusUnknown,
+			Version: command.Version,
+		}
 	}
 	m.state.Bundles = slices.Clone(m.state.Bundles)
 	accepted = m.findBundle(command.Version)
--- a/core/zfcontrol/statemachine_test.go
+++ b/core/zfcontrol/statemachine_test.go
@@ -72,6 +72,33 @@
 		m.Apply(accept(2, "b"))
 		assertStatus(t, m.Apply(accept(1, "a")), zfcontrol.StatusStale)
 	})
+	t.Run("a bundle that was only accepted is put in force", func(t *testing.T) {
+		m := newStateMachine(t)
+		m.Apply(accept(1, "a"))
+		assertStatus(t, m.Apply(zfcontrol.PutCommand{
+			AcceptCommand: accept(1, "a"),
+		}), zfcontrol.StatusDone)
+		zfassert.Equal(t, "in force", m.State().InForce, uint64(1))
+	})
+	t.Run("a bundle that was accepted and overtaken is not put in force", func(t *testing.T) {
+		m := newStateMachine(t)
+		m.Apply(accept(1, "a"))
+		m.Apply(accept(2, "b"))
+		m.Apply(roll(2))
+		assertStatus(t, m.Apply(zfcontrol.PutCommand{
+			AcceptCommand: accept(1, "a"),
+		}), zfcontrol.StatusStale)
+		zfassert.Equal(t, "in force", m.State().InForce, uint64(2))
+	})
+	t.Run("a roll to an unknown version below the one in force names the latter", func(t *testing.T) {
+		m := newStateMachine(t)
+		m.Apply(accept(3, "c"))
+		m.Apply(roll(3))
+		outcome := m.Apply(roll(2))
+		assertStatus(t, outcome, zfcontrol.StatusStale)
+		zfassert.Equal(t, "version", outcome.Version, uint64(3))
+		zfassert.Equal(t, "digest", outcome.Digest, "c")
+	})
 	t.Run("a roll never goes back", func(t *testing.T) {
 		m := newStateMachine(t)
 		m.Apply(accept(1, "a"))
