--- a/core/zfcontrol/statemachine.go
+++ b/core/zfcontrol/statemachine.go
@@ -79,6 +79,9 @@
 	StatusLastCentre: "last",
 }
 
+// Succeeded reports whether the state is as the command requested.
+func (s Status) Succeeded() bool { return s == StatusDone || s == StatusAlready }
+
 // String returns the status' name in reports.
 func (s Status) String() string {
 	if int(s) >= len(statusNames) {
--- a/core/zfcontrol/statemachine_test.go
+++ b/core/zfcontrol/statemachine_test.go
@@ -51,6 +51,20 @@
 	zfassert.Equal(t, "status", outcome.Status.String(), want.String())
 }
 
+func TestSucceeded(t *testing.T) {
+	for status, want := range map[zfcontrol.Status]bool{
+		zfcontrol.StatusDone:     true,
+		zfcontrol.StatusAlready:  true,
+		zfcontrol.StatusStale:    false,
+		zfcontrol.StatusConflict: false,
+		zfcontrol.StatusUnknown:  false,
+	} {
+		t.Run(status.String(), func(t *testing.T) {
+			zfassert.Equal(t, "succeeded", status.Succeeded(), want)
+		})
+	}
+}
+
 func TestStateMachine(t *testing.T) {
 	t.Run("another digest under an accepted version conflicts", func(t *testing.T) {
 		m := newStateMachine(t)
--- a/io/command/zfservecmd/serve.go
+++ b/io/command/zfservecmd/serve.go
@@ -64,6 +64,7 @@
 		fx.Invoke(startReloader),
 	)
 	if err := app.Err(); err != nil {
+		logger.Entry(zfevent.ListenFailed).Err(dig.RootCause(err)).Msg("")
 		return errors.Wrap(dig.RootCause(err), "set up process")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
--- a/io/zfannounce/listener.go
+++ b/io/zfannounce/listener.go
@@ -3,8 +3,10 @@
 package zfannounce
 
 import (
+	"maps"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
@@ -25,10 +27,12 @@
 	// verified.
 	totalRate  = 5000
 	totalBurst = 5000
-	// maxServers bounds the number of rate limiters: one for each name of a backend
-	// server since the start, as they are never removed. Announcements under further
-	// names are refused.
+	// maxServers bounds the number of rate limiters, one for each name of a backend
+	// server. Announcements under further names are refused.
 	maxServers = 20000
+	// sweepInterval is the time between two removals of the rate limiters that are back
+	// at their burst, like a new one.
+	sweepInterval = time.Minute
 )
 
 // DecoderConfig configures a Decoder.
@@ -43,6 +47,7 @@
 	config         DecoderConfig
 	totalLimiter   *rate.Limiter
 	serverLimiters map[zf.ServerName]*rate.Limiter
+	lastSweep      time.Time
 }
 
 // NewDecoder returns a decoder.
@@ -73,6 +78,7 @@
 	if err != nil {
 		return refuse(zf.ReasonBadField, err)
 	}
+	d.sweep(now)
 	limiter, ok := d.serverLimiters[announcement.Server]
 	if !ok {
 		if len(d.serverLimiters) >= maxServers {
@@ -87,6 +93,17 @@
 	return announcement, nil
 }
 
+// sweep removes the rate limiters of backend servers that have been silent.
+func (d *Decoder) sweep(now time.Time) {
+	if now.Sub(d.lastSweep) < sweepInterval {
+		return
+	}
+	d.lastSweep = now
+	maps.DeleteFunc(d.serverLimiters, func(_ zf.ServerName, limiter *rate.Limiter) bool {
+		return limiter.TokensAt(now) >= serverBurst
+	})
+}
+
 func refuse(reason zf.Reason, cause error) (zf.Announcement, error) {
 	return zf.Announcement{}, &zf.WireError{
 		Reason: reason,
--- a/io/zfannounce/listener_test.go
+++ b/io/zfannounce/listener_test.go
@@ -1,6 +1,7 @@
 package zfannounce_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 	"zinniafront/lab/zfassert"
 )
 
-// clock is a fake clock whose time doesn't advance.
+// clock is a fake clock whose time tests set.
 type clock struct{ now time.Time }
 
 func (c *clock) Now() time.Time { return c.now }
@@ -24,11 +25,15 @@
 var key = zfkey.SharedKey("0123456789abcdef0123456789abcdef")
 
 func newDecoder() *zfannounce.Decoder {
+	return newDecoderAt(&clock{
+		now: time.Unix(1, 0),
+	})
+}
+
+func newDecoderAt(c *clock) *zfannounce.Decoder {
 	return zfannounce.NewDecoder(zfannounce.DecoderConfig{
 		Verifier: key,
-		Clock: &clock{
-			now: time.Unix(1, 0),
-		},
+		Clock:    c,
 	})
 }
 
@@ -92,6 +97,37 @@
 	})
 }
 
+func TestRateLimiters(t *testing.T) {
+	t.Run("names of backend servers that are gone don't keep new ones out", func(t *testing.T) {
+		c := &clock{
+			now: time.Unix(1, 0),
+		}
+		decoder := newDecoderAt(c)
+		for n := range 20000 {
+			c.now = c.now.Add(time.Millisecond)
+			_, err := decoder.Decode(datagram(t, zf.ServerName(fmt.Sprintf("s%d", n))))
+			zfassert.NoError(t, err)
+		}
+		_, err := decoder.Decode(datagram(t, "new"))
+		assertReason(t, err, zf.ReasonFull)
+		c.now = c.now.Add(time.Minute)
+		_, err = decoder.Decode(datagram(t, "new"))
+		zfassert.NoError(t, err)
+	})
+	t.Run("a backend server over its rate stays limited", func(t *testing.T) {
+		c := &clock{
+			now: time.Unix(1, 0),
+		}
+		decoder := newDecoderAt(c)
+		for range 61 * 10 { // Each 100 ms, twice the rate.
+			c.now = c.now.Add(100 * time.Millisecond)
+			_, _ = decoder.Decode(datagram(t, "s")) // Half of them are refused.
+		}
+		_, err := decoder.Decode(datagram(t, "s"))
+		assertReason(t, err, zf.ReasonRateLimited)
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(datagram(f, "s"))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/io/zfcluster/subscriber.go
+++ b/io/zfcluster/subscriber.go
@@ -306,7 +306,7 @@
 	case s.shouldReturnToOwnCentre(reply):
 		s.nextCandidate = 0
 		s.disconnect()
-	case starting:
+	case starting || s.unreachable:
 		s.logReachability(false, nil)
 		s.nextCandidate = 0
 		s.retryPause = minRetryPause
--- a/io/zfcontrollerloop/call.go
+++ b/io/zfcontrollerloop/call.go
@@ -116,7 +116,11 @@
 		return result, err
 	}
 	if command != nil {
-		l.config.Logger.Entry(zfevent.CommandDone).Str("command", name).Str("status", result.Outcome.Status.String()).
+		event := zfevent.CommandRefused
+		if result.Outcome.Status.Succeeded() {
+			event = zfevent.CommandDone
+		}
+		l.config.Logger.Entry(event).Str("command", name).Str("status", result.Outcome.Status.String()).
 			Uint64("version", result.Outcome.Version).Uint64("index", result.Index).Dur("took", took).Msg("")
 	}
 	return result, nil
--- a/io/zfdocument/settings.go
+++ b/io/zfdocument/settings.go
@@ -352,6 +352,9 @@
 		}
 		usedPaths[field.address] = field.path
 	}
+	if s.HasRole(RoleControl) && s.HasRole(RoleKeeper) {
+		add("/roles", "has both control and keeper", "one of them, as each keeps a control state of its own")
+	}
 	if (s.HasRole(RoleControl) || s.HasRole(RoleKeeper)) && s.DataFolder == "" {
 		add("/data", "is missing", "the data folder, needed for the control and keeper roles")
 	}
--- a/io/zfoperator/operator_test.go
+++ b/io/zfoperator/operator_test.go
@@ -1,6 +1,7 @@
 package zfoperator_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -162,6 +164,33 @@
 		zfassert.Equal(t, "version", status.State.InForce, uint64(1))
 		assertStatus(t, c.accept(t, "1"), zfcontrol.StatusAlready)
 	})
+	t.Run("a repeated command is logged as carried out", func(t *testing.T) {
+		c := newControl(t)
+		var log syncBuffer
+		zfassert.NoError(t, c.server.Close())
+		c.config.Logger = zfevent.New(zfevent.Config{
+			Output: &log,
+			Level:  "info",
+		})
+		c.start(t)
+		c.accept(t, "1")
+		c.accept(t, "1")
+		zfassert.Contains(t, log.String(), `"status":"already"`)
+		zfassert.True(t, "not logged as refused", !strings.Contains(log.String(), "command refused"))
+	})
+	t.Run("a bundle whose key was withdrawn is not in force after a restart", func(t *testing.T) {
+		c := newControl(t)
+		c.accept(t, "1")
+		c.roll(t, 1)
+		zfassert.NoError(t, c.server.Close())
+		path := filepath.Join(t.TempDir(), "new.key")
+		_, err := zfkey.GenerateSigningKey(path)
+		zfassert.NoError(t, err)
+		c.config.Verifier, err = zfkey.ReadTrustedKeys([]string{path + ".pub"})
+		zfassert.NoError(t, err)
+		_, err = zfoperator.Listen(c.config)
+		zfassert.Contains(t, err.Error(), "no trusted key")
+	})
 	t.Run("an unsigned bundle is refused", func(t *testing.T) {
 		c := newControl(t)
 		_, err := c.client.Accept(context.Background(), zfoperator.AcceptArgs{
@@ -185,3 +214,21 @@
 		zfassert.ErrorIs(t, err, zfoperator.ErrUnreachable)
 	})
 }
+
+// syncBuffer is a buffer for the log of a server, which has its own goroutine.
+type syncBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *syncBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(line)
+}
+
+func (b *syncBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
--- a/io/zfoperator/service.go
+++ b/io/zfoperator/service.go
@@ -192,8 +192,7 @@
 }
 
 // apply carries out a command and returns its outcome after the state is synced to
-// disk. A command whose state can't be saved is undone. One that changes nothing is
-// logged as refused, also if the state already was as requested.
+// disk. A command whose state can't be saved is undone.
 func (s *Server) apply(name string, command zfcontrol.Command) (zfcontrol.Outcome, error) {
 	var outcome zfcontrol.Outcome
 	var saveErr error
@@ -201,14 +200,14 @@
 		before := s.stateMachine.State()
 		outcome = s.stateMachine.Apply(command)
 		if outcome.Status != zfcontrol.StatusDone {
-			s.logOutcome(zfevent.CommandRefused, name, outcome)
+			s.logOutcome(name, outcome)
 			return
 		}
 		if saveErr = s.saveState(); saveErr != nil {
 			s.restoreState(before)
 			return
 		}
-		s.logOutcome(zfevent.CommandDone, name, outcome)
+		s.logOutcome(name, outcome)
 		s.answerFetches()
 	})
 	if err != nil {
@@ -217,7 +216,12 @@
 	return outcome, saveErr
 }
 
-func (s *Server) logOutcome(event zfevent.Event, name string, outcome zfcontrol.Outcome) {
+// logOutcome logs a command as carried out also if the state already was as requested.
+func (s *Server) logOutcome(name string, outcome zfcontrol.Outcome) {
+	event := zfevent.CommandRefused
+	if outcome.Status.Succeeded() {
+		event = zfevent.CommandDone
+	}
 	s.config.Logger.Entry(event).Str("command", name).Str("status", outcome.Status.String()).
 		Uint64("sequence", outcome.Sequence).Uint64("version", outcome.Version).Msg("")
 }
