Let a backend server that started again decide on flows with its earlier cookie

Cause: between the start of a backend server under the name, number and address that it had before and its first heartbeat at all instances, flows open at it with the cookie of its earlier incarnation. As soon as the later one was known, packets with that cookie were answered with resets, though the flow lives.

Change: the cookie is redirected to the later incarnation, which resets flows that it doesn't have. Idle flows are ended only if their last packet came 2 s or more before its announcement.

--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -6,9 +6,14 @@
 	zf "zinniafront"
 )
 
-// leaveGrace is how long a backend server may keep running after it announced its
-// end.
-const leaveGrace = time.Second
+const (
+	// leaveGrace is how long a backend server may keep running after it announced its
+	// end.
+	leaveGrace = time.Second
+	// announceDelay is how long a backend server that has started may take to announce
+	// itself everywhere. Flows that opened since then may be its own.
+	announceDelay = 2 * time.Second
+)
 
 // termination holds what is known about the end of a backend server.
 type termination struct {
@@ -17,6 +22,8 @@
 	// provenAt is when the end of the backend server became certain, or the zero
 	// value.
 	provenAt time.Time
+	// restarted is true if a later incarnation has the same number and address.
+	restarted bool
 	// flowsEnded is true once endFlows has collected the backend server's open flows.
 	flowsEnded bool
 }
@@ -45,7 +52,7 @@
 // endFlows collects the flows of backend servers that were found to be dead, so that
 // their callers are sent resets before they lose their next request.
 func (m *Mapper) endFlows(now time.Time) {
-	var dead map[*serverStats]bool
+	var dead map[*serverStats]time.Time
 	for _, stats := range m.stats {
 		if !stats.dead(now) {
 			stats.termination.flowsEnded = false
@@ -56,9 +63,12 @@
 		}
 		stats.termination.flowsEnded = true
 		if dead == nil {
-			dead = make(map[*serverStats]bool)
+			dead = make(map[*serverStats]time.Time)
+		}
+		dead[stats] = now
+		if stats.termination.restarted {
+			dead[stats] = stats.termination.provenAt.Add(-announceDelay)
 		}
-		dead[stats] = true
 	}
 	if dead != nil {
 		m.endedFlows = append(m.endedFlows, m.requests.takeLastPackets(dead, now)...)
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -203,6 +203,7 @@
 		}
 		pools[s.Service].add(s, view.Centre)
 	}
+	next.redirectRestarted(view.Servers)
 	for _, p := range pools {
 		p.sort()
 	}
@@ -213,6 +214,35 @@
 	m.current.Store(next)
 }
 
+// redirectRestarted maps the cookies of backend servers that have certainly ended to the
+// later incarnation with the same number and address. A flow that opened before that one
+// announced itself may be its own; it resets those that it doesn't have. The rows are
+// sorted by name and start time.
+func (s *snapshot) redirectRestarted(rows []zf.ServerView) {
+	for i, row := range rows {
+		if row.State != zf.ServerGone || !row.Proven {
+			continue
+		}
+		ended := s.cookies[CookieOf(row.Name, row.Born)]
+		if ended == nil || !ended.Born.Equal(row.Born) {
+			continue // Cookie collision.
+		}
+		ended.stats.termination.restarted = false
+		for _, later := range rows[i+1:] {
+			if later.Name != row.Name {
+				break
+			}
+			if later.State == zf.ServerGone || later.Number != row.Number || later.Address != row.Address || later.Service != row.Service {
+				continue
+			}
+			if successor := s.cookies[CookieOf(later.Name, later.Born)]; successor != nil && successor.Name == later.Name {
+				ended.stats.termination.restarted = true
+				s.cookies[ended.cookie] = successor
+			}
+		}
+	}
+}
+
 // replaces reports whether s gets the cookie in a collision with other: a backend server
 // that is not gone goes first, then the one that started earlier.
 func replaces(s, other *server) bool {
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -129,14 +129,18 @@
 }
 
 // takeLastPackets removes the open flows of dead backend servers from the table and
-// returns their last packets. Flows idle for flowIdleTimeout are left out.
-func (t *requestTable) takeLastPackets(dead map[*serverStats]bool, now time.Time) []zf.Packet {
+// returns their last packets. dead holds a time for each of them; flows with a later
+// packet are left out, and those idle for flowIdleTimeout.
+func (t *requestTable) takeLastPackets(dead map[*serverStats]time.Time, now time.Time) []zf.Packet {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var last []zf.Packet
 	for i := range t.rows {
 		row := &t.rows[i]
-		if row.stats == nil || !dead[row.stats] || row.opening || now.UnixNano()-row.lastData >= int64(flowIdleTimeout) {
+		if row.stats == nil || row.opening || now.UnixNano()-row.lastData >= int64(flowIdleTimeout) {
+			continue
+		}
+		if until, ok := dead[row.stats]; !ok || row.lastData > until.UnixNano() {
 			continue
 		}
 		last = append(last, row.takeLastPacket())
