Take no retransmissions that waited during a suspension for missing answers

Cause: an instance that went on after a suspension recognized it at its first tick and cleared the misses, but then read the packets that had waited. Their retransmissions counted as misses, and as the fabric had moved its callers elsewhere, no answer was seen that cleared them. With late heartbeats the backend server seemed dead and the flows idle at this instance were reset.

Measured: TestSuspendedInstance fails before (four flows reset) and passes after.

--- a/core/zfcookie/ended_test.go
+++ b/core/zfcookie/ended_test.go
@@ -27,6 +27,40 @@
 	}
 }
 
+func TestSuspendedInstance(t *testing.T) {
+	late := row(1, "orders", "one")
+	late.Late = true
+	v := view(late, row(2, "orders", "one"))
+	// resume has an instance go on after a suspension: it runs its tick, then reads the
+	// retransmissions that waited for it.
+	resume := func(mapper *zfcookie.Mapper) time.Time {
+		for port := range 4 {
+			sendRequest(mapper, port, "s1", start)
+		}
+		now := start.Add(3 * time.Second)
+		mapper.Tick(now, v)
+		for port := range 4 {
+			sendRequest(mapper, port, "s1", now.Add(time.Millisecond))
+		}
+		return now
+	}
+	t.Run("retransmissions that waited end no flow", func(t *testing.T) {
+		mapper := newMapper(v)
+		now := resume(mapper)
+		tickUntil(mapper, v, now, now.Add(2*time.Second))
+		assertEnded(t, mapper)
+	})
+	t.Run("those that follow do", func(t *testing.T) {
+		mapper := newMapper(v)
+		now := tickUntil(mapper, v, resume(mapper), start.Add(3500*time.Millisecond))
+		for range 4 {
+			sendRequest(mapper, 1, "s1", now)
+			now = tickUntil(mapper, v, now, now.Add(200*time.Millisecond))
+		}
+		zfassert.True(t, "flows are ended", len(mapper.EndedFlows()) > 0)
+	})
+}
+
 func TestEnded(t *testing.T) {
 	late := row(1, "orders", "one")
 	late.Late = true
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -40,6 +40,9 @@
 	revision      uint64
 	// lastMaintenance is when the periodic tasks last ran, in Unix nanoseconds.
 	lastMaintenance atomic.Int64
+	// resumedAt is when this instance last went on after a suspension, in Unix
+	// nanoseconds.
+	resumedAt atomic.Int64
 	// endedFlows holds the last packets of ended flows whose callers have to be sent
 	// resets.
 	endedFlows []zf.Packet
@@ -159,6 +162,9 @@
 			m.totalsKnown.Store(false)
 		}
 		suspended := m.requests.sweep(now)
+		if suspended {
+			m.resumedAt.Store(now.UnixNano())
+		}
 		for _, stats := range m.stats {
 			stats.decay()
 			if suspended {
@@ -181,6 +187,14 @@
 	return now.UnixNano()-m.lastMaintenance.Load() >= int64(maxSweepGap)
 }
 
+// recordMiss records a packet without an answer, unless it may have waited for this
+// instance during a suspension.
+func (m *Mapper) recordMiss(s *serverStats, now time.Time) {
+	if now.UnixNano()-m.resumedAt.Load() >= int64(answerTimeout) {
+		s.recordMiss(now)
+	}
+}
+
 // publish builds the snapshot of a view and makes it current.
 func (m *Mapper) publish(view zf.View, now time.Time) {
 	next := &snapshot{
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -87,7 +87,7 @@
 	case answered:
 		s.stats.recordAnswer(now)
 	case retransmitted:
-		s.stats.recordMiss(now)
+		m.recordMiss(s.stats, now)
 	}
 }
 
@@ -101,7 +101,7 @@
 	var previous *serverStats
 	if packet.Retransmissions > 0 {
 		if previous = m.requests.openingTarget(hash); previous != nil {
-			previous.recordMiss(now)
+			m.recordMiss(previous, now)
 		}
 	}
 	p := r.pickPool(hash)
