Count only retransmitted requests as evidence against a data centre

Cause: in a fabric that moves flows between instances, the answer to a request is acknowledged through another one. Requests of moved flows seemed to wait, and an instance found a living data centre unresponsive: 66 flows were reset.

Change: a request counts only if its caller has retransmitted it through this instance; only such callers are sent resets with the verdict.

Measured: the case 'flows move to other instances' of TestUnresponsiveCentre fails before and passes after; its load now has the callers' retransmissions. Seed 9948 is kept as a regression case.

--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -53,7 +53,7 @@
 }
 
 // waitingRequests describes the requests that have waited for their answers for
-// answerTimeout, but not for maxWait.
+// answerTimeout, but not for maxWait, and that callers have retransmitted.
 type waitingRequests struct {
 	// servers counts, for each data centre that has not answered any later request, the
 	// backend servers at which requests wait.
--- a/core/zfcookie/centre_test.go
+++ b/core/zfcookie/centre_test.go
@@ -37,6 +37,9 @@
 	silent int
 	// pause is the time between two requests to a data centre; default 40 ms.
 	pause time.Duration
+	// moved has all further packets of the flows to data centre two go to other
+	// instances: neither answers nor retransmissions are seen.
+	moved bool
 	late  bool
 }
 
@@ -50,18 +53,18 @@
 		pause = 40 * time.Millisecond
 	}
 	const step = 10 * time.Millisecond
-	answers := make(map[time.Duration][]zf.Packet)
+	later := make(map[time.Duration][]zf.Packet)
 	for at := time.Duration(0); at < d; at += step {
 		now := start.Add(at)
-		for _, answer := range answers[at] {
-			mapper.Route(answer, now)
+		for _, packet := range later[at] {
+			anyReset = anyReset || mapper.Route(packet, now).Action == zf.ActionReset
 		}
 		if at%pause == 0 {
 			for i, server := range l.targets(at / pause) {
 				request := data(int(at/step)*2+i, zfcookie.CookieOf(server.Name, start), 1)
 				anyReset = anyReset || mapper.Route(request, now).Action == zf.ActionReset
-				if delay, ok := l.answer(server); ok {
-					answers[at+delay] = append(answers[at+delay], acknowledgementOf(request))
+				for delay, packet := range l.packetsAfter(request, server) {
+					later[at+delay] = append(later[at+delay], packet)
 				}
 			}
 		}
@@ -92,6 +95,25 @@
 	return delay, delay >= 0
 }
 
+// packetsAfter returns the packets that follow a request by the time after it: the
+// caller's acknowledgement of the answer and its retransmissions until then.
+func (l centreLoad) packetsAfter(request zf.Packet, server zf.ServerView) map[time.Duration]zf.Packet {
+	packets := make(map[time.Duration]zf.Packet)
+	if l.moved && server.Centre == "two" {
+		return packets
+	}
+	delay, answers := l.answer(server)
+	if answers {
+		packets[delay] = acknowledgementOf(request)
+	}
+	for _, after := range []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond} {
+		if !answers || after < delay {
+			packets[after] = request
+		}
+	}
+	return packets
+}
+
 // acknowledgementOf returns the caller's acknowledgement of the answer to a request.
 func acknowledgementOf(request zf.Packet) zf.Packet {
 	return zf.Packet{
@@ -159,6 +181,13 @@
 				delays: delays(usual, 350*time.Millisecond),
 			},
 		},
+		{
+			name: "flows move to other instances",
+			load: centreLoad{
+				delays: delays(usual, never),
+				moved:  true,
+			},
+		},
 		{
 			name: "too few requests to tell",
 			load: centreLoad{
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -50,6 +50,9 @@
 	// that time.
 	requestedAt        int64
 	acknowledgedBefore uint32
+	// repeated is true if the caller has retransmitted the request through this instance.
+	// Otherwise the answer may have been acknowledged through another one.
+	repeated bool
 	// unanswered is true if the request has been counted as unanswered.
 	unanswered bool
 }
@@ -98,7 +101,9 @@
 	row.sequence = packet.Sequence
 	row.lastData = now.UnixNano()
 	row.lastAcknowledged = packet.Acknowledged
+	row.repeated = row.repeated || retransmitted
 	if row.requestedAt == 0 && !retransmitted {
+		row.repeated = false
 		row.requestedAt = row.lastData
 		row.acknowledgedBefore = packet.Acknowledged
 	}
@@ -159,7 +164,7 @@
 	return last
 }
 
-// waiting returns the requests that wait for their answers.
+// waiting returns the requests that wait for their answers and were retransmitted.
 func (t *requestTable) waiting(now time.Time) waitingRequests {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -167,7 +172,7 @@
 	counted := make(map[*serverStats]bool)
 	for i := range t.rows {
 		row := &t.rows[i]
-		if age := now.UnixNano() - row.requestedAt; row.requestedAt == 0 || age < int64(answerTimeout) || age >= int64(maxWait) {
+		if age := now.UnixNano() - row.requestedAt; row.requestedAt == 0 || !row.repeated || age < int64(answerTimeout) || age >= int64(maxWait) {
 			continue
 		}
 		if result.servers == nil {
@@ -193,7 +198,7 @@
 	var last []zf.Packet
 	for i := range t.rows {
 		row := &t.rows[i]
-		if row.requestedAt != 0 && row.stats.centre == centre && row.requestedAt > centre.lastAnswer.Load() {
+		if row.requestedAt != 0 && row.repeated && row.stats.centre == centre && row.requestedAt > centre.lastAnswer.Load() {
 			last = append(last, row.takeLastPacket())
 		}
 	}
--- a/lab/zfsoak/soak_test.go
+++ b/lab/zfsoak/soak_test.go
@@ -29,7 +29,13 @@
 		seed: 116,
 		cause: "a paused control instance delayed heartbeats, and an entry instance that resumed from a pause" +
 			" took answered packets and their retransmissions for unanswered ones: an active flow was reset; again" +
-			" when a silent control instance made late all backend servers whose heartbeats it receives",
+			" when a silent control instance made late all backend servers whose heartbeats it receives; again when" +
+			" the retransmissions were read only after the first tick that followed the pause",
+	},
+	{
+		seed: 9948,
+		cause: "requests whose flows had moved to other instances seemed to wait for a data centre that had" +
+			" fallen silent: active flows were reset",
 	},
 }
 
