Withdraw the verdict on a data centre once some of its heartbeats are on time

Cause: found by reading: with heartbeats overdue a verdict lasted until the data centre answered this instance, which may never happen where its callers have none there. Much later, overdue heartbeats of a single backend server would have been enough to reset its flows.

Measured: 'overdue heartbeats of one backend server later prove nothing' fails before and passes after.

--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -45,8 +45,8 @@
 }
 
 // unresponsive reports whether the data centre was found unresponsive and has not
-// answered since. With late, when control instances miss heartbeats as well, this holds
-// until the heartbeats are back, otherwise for unresponsiveTimeout.
+// answered since. This holds for unresponsiveTimeout, or with late, when heartbeats are
+// overdue as well, until expireVerdicts finds that some are not.
 func (c *centreStats) unresponsive(late bool, now time.Time) bool {
 	at := c.unresponsiveAt.Load()
 	return at > c.lastAnswer.Load() && (late || now.UnixNano()-at < int64(unresponsiveTimeout))
@@ -77,6 +77,20 @@
 	}
 }
 
+// expireVerdicts withdraws the verdicts that are older than unresponsiveTimeout from the
+// data centres where a backend server's heartbeats are not overdue.
+func (m *Mapper) expireVerdicts(rows []zf.ServerView, now time.Time) {
+	for _, row := range rows {
+		if row.State == zf.ServerGone || row.Late {
+			continue
+		}
+		centre := m.centreOf(row.Centre)
+		if at := centre.unresponsiveAt.Load(); at != 0 && now.UnixNano()-at >= int64(unresponsiveTimeout) {
+			centre.unresponsiveAt.Store(0)
+		}
+	}
+}
+
 // otherCentreAnswers reports whether another data centre has answered recently. If none
 // has, this instance may be the one that is cut off.
 func (m *Mapper) otherCentreAnswers(centre *centreStats, now time.Time) bool {
--- a/core/zfcookie/centre_test.go
+++ b/core/zfcookie/centre_test.go
@@ -261,6 +261,15 @@
 		mapper.Tick(now, back)
 		assertForward(t, requestTo(mapper, "s12", 9002, now))
 	})
+	t.Run("overdue heartbeats of one backend server later prove nothing", func(t *testing.T) {
+		mapper, now := silence(t, false)
+		now = tickUntil(mapper, centreView(false), now, now.Add(time.Minute))
+		v := centreView(false)
+		v.Revision = 2
+		v.Servers[centreSize+3].Late = true
+		mapper.Tick(now, v)
+		assertForward(t, requestTo(mapper, v.Servers[centreSize+3].Name, 9001, now))
+	})
 	t.Run("a suspension of this instance is not silence", func(t *testing.T) {
 		mapper := newMapper(centreView(false))
 		for n := range centreSize {
