--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -46,7 +46,7 @@
 
 // unresponsive reports whether the data centre was found unresponsive and has not
 // answered since. This holds for unresponsiveTimeout, or with late, when heartbeats are
-// overdue as well, until expireVerdicts finds that some are not.
+// overdue as well, until clearUnresponsive finds that some are not.
 func (c *centreStats) unresponsive(late bool, now time.Time) bool {
 	at := c.unresponsiveAt.Load()
 	return at > c.lastAnswer.Load() && (late || now.UnixNano()-at < int64(unresponsiveTimeout))
@@ -77,9 +77,9 @@
 	}
 }
 
-// expireVerdicts withdraws the verdicts that are older than unresponsiveTimeout from the
-// data centres where a backend server's heartbeats are not overdue.
-func (m *Mapper) expireVerdicts(rows []zf.ServerView, now time.Time) {
+// clearUnresponsive ends the unresponsiveness, after unresponsiveTimeout, of the data
+// centres where a backend server's heartbeats are not overdue.
+func (m *Mapper) clearUnresponsive(rows []zf.ServerView, now time.Time) {
 	for _, row := range rows {
 		if row.State == zf.ServerGone || row.Late {
 			continue
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -218,7 +218,7 @@
 		pools[s.Service].add(s, view.Centre)
 	}
 	next.redirectRestarted(view.Servers)
-	m.expireVerdicts(view.Servers, now)
+	m.clearUnresponsive(view.Servers, now)
 	for _, p := range pools {
 		p.sort()
 	}
--- a/core/zfforward/entry.go
+++ b/core/zfforward/entry.go
@@ -15,7 +15,8 @@
 	ableSince time.Time
 }
 
-// update lets an instance that is able to take traffic enter unless it has to wait.
+// update lets an instance that is able to take traffic enter unless it has to wait, but
+// after maxEntryWait in any case.
 func (e *rotationEntry) update(able, wait bool, now time.Time) {
 	switch {
 	case e.entered:
--- a/core/zfforward/stop.go
+++ b/core/zfforward/stop.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// permitTimeout is the time since the last reply after which an instance that waits
-// for a stop permit stops without one, since only a reply can grant it. A fetch is
-// held back for half a second at most, so that one reply may be late.
-const permitTimeout = 1200 * time.Millisecond
+// replyTimeout is the time since the last reply after which an instance no longer waits
+// for what only a reply can grant: a stop permit, or leave to enter the rotation. A
+// fetch is held back for half a second at most, so that one reply may be late.
+const replyTimeout = 1200 * time.Millisecond
 
 // plannedStop is a planned stop.
 type plannedStop struct {
@@ -28,7 +28,7 @@
 // beginStopIfDue begins a requested stop without a permit if the instance is not
 // ready anyway, the deadline has passed or replies are overdue.
 func (w *World) beginStopIfDue(now time.Time) {
-	if w.stop.requested && (!w.Ready() || !now.Before(w.stop.deadline) || now.Sub(w.lastReply) >= permitTimeout) {
+	if w.stop.requested && (!w.Ready() || !now.Before(w.stop.deadline) || now.Sub(w.lastReply) >= replyTimeout) {
 		w.stop.begun = true
 	}
 }
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -212,7 +212,8 @@
 	w.registry.Tick(now, time.Time{})
 	w.beginStopIfDue(now)
 	w.tickMapper(now)
-	w.entry.update(w.Able(), now.Sub(w.lastReply) < permitTimeout, now)
+	repliesArrive := now.Sub(w.lastReply) < replyTimeout
+	w.entry.update(w.Able(), repliesArrive, now)
 }
 
 // tickMapper runs the mapper's tick, with a new view if the inputs of the view changed.
