Compute growth exponents relative to the first size

Cause: on an arm64 processor, which fuses multiplications and additions, equal values at all sizes had a power of -0.00.

Change: sizes and values are taken relative to the first, so that the terms of equal values are exactly 0.

--- a/lab/zfsweep/table.go
+++ b/lab/zfsweep/table.go
@@ -126,7 +126,10 @@
 		if measurement.Greatest <= 0 {
 			return 0, false
 		}
-		x, y := math.Log(float64(t.Sizes[i])), math.Log(measurement.Greatest)
+		// Relative to the first size, so that equal values have a power of exactly 0,
+		// however a processor rounds.
+		x := math.Log(float64(t.Sizes[i]) / float64(t.Sizes[0]))
+		y := math.Log(measurement.Greatest / row.Measurements[0].Greatest)
 		n++
 		sumX += x
 		sumY += y
