--- /dev/null
+++ b/review/cmd/zfcase/lostdrain.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"sync"
+	"time"
+
+	"zinniafront/review/zfreview"
+)
+
+const (
+	// drainServers is the number of backend servers, as in the site of the large
+	// deployment: dispatch is the service of the callers, the others are of board.
+	drainServers    = 600
+	dispatchInLarge = 120
+	// drainShare is the share of the servers of dispatch that drain at once.
+	drainShare = 0.15
+	// drainPause is the time between two of them.
+	drainPause = 3 * time.Millisecond
+	// drainChecks is the number of flows that test where requests go.
+	drainChecks = 600
+	// largeContactTime and largeDrainTime are ContactMs and DrainMs of the large deployment,
+	// which are longer than those of a small one.
+	largeContactTime = 6 * time.Second
+	largeDrainTime   = 5 * time.Second
+	// serversPerHost is the number of backend servers at one address.
+	serversPerHost = 50
+)
+
+// lostDrain checks DRAIN: an entry instance that starts while backend servers begin to
+// drain must not send them flows later than the bound.
+func lostDrain(e environment) (bool, error) {
+	d, _, err := e.small([]string{"hobart", "hobart"}, "dispatch", "board")
+	if err != nil {
+		return false, err
+	}
+	defer d.Stop()
+	servers := make([]*zfreview.Server, 0, drainServers)
+	for i := range drainServers {
+		config := zfreview.ServerConfig{
+			Number:  uint64(0x7f3a0001 + i),
+			Service: "board",
+			Zone:    "hobart",
+			Host:    101 + i/serversPerHost,
+			Port:    uint16(i % serversPerHost),
+			Work:    workTime,
+			Home:    i,
+		}
+		if i < dispatchInLarge {
+			config.Service = "dispatch"
+		}
+		s, err := d.StartServer(config)
+		if err != nil {
+			return false, err
+		}
+		defer s.Crash()
+		servers = append(servers, s)
+	}
+	callers, err := d.StartCallers()
+	if err != nil {
+		return false, err
+	}
+	defer callers.Close()
+	time.Sleep(zfreview.ContactTime)
+
+	entry := d.Entries[0]
+	if e.trouble {
+		d.Kill(entry)
+		if err := d.StartProcess(entry, false); err != nil {
+			return false, err
+		}
+	}
+	draining := servers[:int(drainShare*dispatchInLarge)]
+	acknowledged := make([]time.Time, len(draining))
+	var wait sync.WaitGroup
+	for i, s := range draining {
+		wait.Go(func() {
+			time.Sleep(time.Duration(i) * drainPause)
+			at, by, err := s.Drain()
+			if err != nil {
+				e.record.Printf("%v", err)
+				return
+			}
+			acknowledged[i] = at
+			e.record.Printf("%s draining, acknowledged by %s", s.ID(), by)
+		})
+	}
+	wait.Wait()
+	time.Sleep(largeContactTime + largeDrainTime)
+	for range drainChecks {
+		flow, outcome := callers.Open(entry, zfreview.RouteAddress(0))
+		if outcome != zfreview.Answered {
+			e.record.Printf("caller: flow %s", outcome)
+			continue
+		}
+		flow.Close()
+	}
+	late := 0
+	for i, s := range draining {
+		for _, arrival := range s.Arrivals() {
+			if after := arrival.At.Sub(acknowledged[i]); !acknowledged[i].IsZero() && after > largeDrainTime {
+				late++
+				e.record.Printf("%s gets a flow %s after it was acknowledged to drain", s.ID(), after)
+			}
+		}
+	}
+	e.record.Printf("%d flows too late", late)
+	return late > 0, nil
+}
