--- a/review/cmd/zfcase/main.go
+++ b/review/cmd/zfcase/main.go
@@ -24,6 +24,7 @@
 	"foreign-heartbeat": foreignHeartbeat,
 	"silent-servers":    silentServers,
 	"lost-drain":        lostDrain,
+	"missing-field":     missingField,
 }
 
 func main() {
--- a/review/cmd/zfcase/staleorder.go
+++ b/review/cmd/zfcase/staleorder.go
@@ -51,32 +51,39 @@
 	defer callers.Close()
 	time.Sleep(zfreview.ContactTime)
 
+	// A leader that thaws may answer before it notices that it was deposed, and then the
+	// old order fails; so a second instance follows if the rule held.
+	for _, frozen := range []int{0, 2} {
+		late, err := e.staleRound(d, operator, callers, servers, frozen)
+		if err != nil || late > 0 {
+			return late > 0, err
+		}
+	}
+	return false, nil
+}
+
+// staleRound evacuates hobart, finishes the evacuation while one control instance is
+// frozen, and evacuates it again. It returns how many flows reached hobart too late.
+func (e environment) staleRound(d *zfreview.Deployment, operator *zfreview.Operator, callers *zfreview.Callers, servers []*zfreview.Server, frozen int) (int, error) {
 	if _, err := operator.Evacuate(1, "hobart", "start"); err != nil {
-		return false, err
+		return 0, err
 	}
 	time.Sleep(time.Second)
-	frozen := d.Controls[0]
 	thawAt := time.Now().Add(freezeTime)
-	if e.trouble {
-		e.record.Printf("freeze %s", frozen.Name())
-		if err := frozen.Signal(syscall.SIGSTOP); err != nil {
-			return false, err
-		}
+	if err := e.signal(d.Controls[frozen], "freeze", syscall.SIGSTOP); err != nil {
+		return 0, err
 	}
-	if _, err := operator.Evacuate(0, "hobart", "finish"); err != nil {
-		return false, err
+	if _, err := operator.Evacuate(frozen, "hobart", "finish"); err != nil {
+		return 0, err
 	}
 	time.Sleep(secondStart)
 	evacuated, err := operator.Evacuate(1, "hobart", "start")
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	time.Sleep(time.Until(thawAt))
-	if e.trouble {
-		e.record.Printf("thaw %s", frozen.Name())
-		if err := frozen.Signal(syscall.SIGCONT); err != nil {
-			return false, err
-		}
+	if err := e.signal(d.Controls[frozen], "thaw", syscall.SIGCONT); err != nil {
+		return 0, err
 	}
 	// Beyond this all machines are in touch, and an unstable core stretches no bound.
 	judgedFrom := evacuated.Add(zfreview.EvacuationTime + zfreview.StretchTime)
@@ -91,7 +98,16 @@
 		flow.Close()
 		time.Sleep(workTime)
 	}
-	return countLate(e, servers, "hobart", judgedFrom) > 0, nil
+	return countLate(e, servers, "hobart", judgedFrom), nil
+}
+
+// signal sends a signal to a process if the case runs with its disruption.
+func (e environment) signal(p *zfreview.Process, name string, signal syscall.Signal) error {
+	if !e.trouble {
+		return nil
+	}
+	e.record.Printf("%s %s", name, p.Name())
+	return p.Signal(signal)
 }
 
 // countLate returns the number of flows that reached the servers of a zone after a time.
--- a/review/zfreview/server.go
+++ b/review/zfreview/server.go
@@ -349,9 +349,9 @@
 }
 
 // ForeignHeartbeat sends a heartbeat that another writer makes for this backend server's
-// id and address, with a service that the platform doesn't name.
-func (s *Server) ForeignHeartbeat(service string) error {
-	text, err := json.Marshal(map[string]any{
+// id and address, with another service and without some fields.
+func (s *Server) ForeignHeartbeat(service string, without ...string) error {
+	heartbeat := map[string]any{
 		"Service":         service,
 		"Address":         s.Address(),
 		"Zone":            s.config.Zone,
@@ -361,7 +361,11 @@
 		"ColdRemainingMs": 0,
 		"Seq":             1,
 		"born":            time.Now().UnixMilli(),
-	})
+	}
+	for _, field := range without {
+		delete(heartbeat, field)
+	}
+	text, err := json.Marshal(heartbeat)
 	if err != nil {
 		return errors.Wrap(err, "encode heartbeat")
 	}
