--- a/review/cmd/zfcase/lostdrain.go
+++ b/review/cmd/zfcase/lostdrain.go
@@ -12,8 +12,11 @@
 	// deployment: dispatch is the service of the callers, the others are of board.
 	drainServers    = 600
 	dispatchInLarge = 120
-	// drainShare is the share of the servers of dispatch that drain at once.
-	drainShare = 0.15
+	// drainCount is the number of servers of dispatch that drain at once: 0.15 of them.
+	drainCount = 18
+	// drainRounds is the number of times that an entry instance is killed while others of
+	// them drain, until the rule is broken.
+	drainRounds = 3
 	// drainPause is the time between two of them.
 	drainPause = 3 * time.Millisecond
 	// drainChecks is the number of flows that test where requests go.
@@ -62,14 +65,25 @@
 	defer callers.Close()
 	time.Sleep(zfreview.ContactTime)
 
+	for round := range drainRounds {
+		late, err := e.drainRound(d, callers, servers[round*drainCount:(round+1)*drainCount])
+		if err != nil || late > 0 {
+			return late > 0, err
+		}
+	}
+	return false, nil
+}
+
+// drainRound kills an entry instance and starts it again while backend servers begin to
+// drain. It returns how many flows it sends them too late.
+func (e environment) drainRound(d *zfreview.Deployment, callers *zfreview.Callers, draining []*zfreview.Server) (int, error) {
 	entry := d.Entries[0]
 	if e.trouble {
 		d.Kill(entry)
 		if err := d.StartProcess(entry, false); err != nil {
-			return false, err
+			return 0, err
 		}
 	}
-	draining := servers[:int(drainShare*dispatchInLarge)]
 	acknowledged := make([]time.Time, len(draining))
 	var wait sync.WaitGroup
 	for i, s := range draining {
@@ -104,5 +118,5 @@
 		}
 	}
 	e.record.Printf("%d flows too late", late)
-	return late > 0, nil
+	return late, nil
 }
--- a/review/cmd/zfcase/staleorder.go
+++ b/review/cmd/zfcase/staleorder.go
@@ -14,7 +14,14 @@
 	secondStart = 500 * time.Millisecond
 	// freezeTime is the length of the freeze, as in the site's list of troubles.
 	freezeTime = 4 * time.Second
-	// requestCount is the number of flows that test where requests go.
+	// settleTime is the time after an order or a thaw until it is in force everywhere.
+	settleTime = time.Second
+	// maxRounds is the number of freezes, one control instance at a time, until one of them
+	// carries out its old order: a leader that thaws may notice too late that it was deposed.
+	maxRounds = 6
+	// probeCount and requestCount are the numbers of flows that test where requests go, after
+	// each freeze and at the end.
+	probeCount   = 8
 	requestCount = 40
 	// workTime is how long a request takes.
 	workTime = 15 * time.Millisecond
@@ -51,45 +58,57 @@
 	defer callers.Close()
 	time.Sleep(zfreview.ContactTime)
 
-	// A leader that thaws may answer before it notices that it was deposed, and then the
-	// old order fails; so a second instance follows if the rule held.
-	for _, frozen := range []int{0, 2} {
-		late, err := e.staleRound(d, operator, callers, servers, frozen)
-		if err != nil || late > 0 {
-			return late > 0, err
+	var evacuated time.Time
+	for round := range maxRounds {
+		if evacuated, err = e.freezeRound(d, operator, round%len(d.Controls)); err != nil {
+			return false, err
+		}
+		time.Sleep(settleTime)
+		before := countLate(servers, "hobart", time.Time{})
+		sendFlows(e, callers, d.Entries[0], probeCount)
+		if countLate(servers, "hobart", time.Time{}) > before {
+			break // The old order has ended the evacuation; whether that breaks the rule is judged below.
 		}
 	}
-	return false, nil
+	// Beyond this all machines are in touch, and an unstable core stretches no bound.
+	judgedFrom := evacuated.Add(zfreview.EvacuationTime + zfreview.StretchTime)
+	time.Sleep(time.Until(judgedFrom))
+	sendFlows(e, callers, d.Entries[0], requestCount)
+	for _, s := range servers {
+		e.record.Printf("%s in %s: %d flows after the bound", s.ID(), s.Zone(), countLate([]*zfreview.Server{s}, s.Zone(), judgedFrom))
+	}
+	return countLate(servers, "hobart", judgedFrom) > 0, nil
 }
 
-// staleRound evacuates hobart, finishes the evacuation while one control instance is
-// frozen, and evacuates it again. It returns how many flows reached hobart too late.
-func (e environment) staleRound(d *zfreview.Deployment, operator *zfreview.Operator, callers *zfreview.Callers, servers []*zfreview.Server, frozen int) (int, error) {
-	if _, err := operator.Evacuate(1, "hobart", "start"); err != nil {
-		return 0, err
+// freezeRound evacuates hobart, finishes the evacuation while one control instance is
+// frozen, which is asked first, and evacuates hobart again. It returns when the last order
+// was acknowledged.
+func (e environment) freezeRound(d *zfreview.Deployment, operator *zfreview.Operator, frozen int) (time.Time, error) {
+	other := (frozen + 1) % len(d.Controls)
+	if _, err := operator.Evacuate(other, "hobart", "start"); err != nil {
+		return time.Time{}, err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(settleTime)
 	thawAt := time.Now().Add(freezeTime)
 	if err := e.signal(d.Controls[frozen], "freeze", syscall.SIGSTOP); err != nil {
-		return 0, err
+		return time.Time{}, err
 	}
 	if _, err := operator.Evacuate(frozen, "hobart", "finish"); err != nil {
-		return 0, err
+		return time.Time{}, err
 	}
 	time.Sleep(secondStart)
-	evacuated, err := operator.Evacuate(1, "hobart", "start")
+	evacuated, err := operator.Evacuate(other, "hobart", "start")
 	if err != nil {
-		return 0, err
+		return time.Time{}, err
 	}
 	time.Sleep(time.Until(thawAt))
-	if err := e.signal(d.Controls[frozen], "thaw", syscall.SIGCONT); err != nil {
-		return 0, err
-	}
-	// Beyond this all machines are in touch, and an unstable core stretches no bound.
-	judgedFrom := evacuated.Add(zfreview.EvacuationTime + zfreview.StretchTime)
-	time.Sleep(time.Until(judgedFrom))
-	for range requestCount {
-		flow, outcome := callers.Open(d.Entries[0], zfreview.RouteAddress(0))
+	return evacuated, e.signal(d.Controls[frozen], "thaw", syscall.SIGCONT)
+}
+
+// sendFlows opens flows in turn and sends one request on each.
+func sendFlows(e environment, callers *zfreview.Callers, entry *zfreview.Process, count int) {
+	for range count {
+		flow, outcome := callers.Open(entry, zfreview.RouteAddress(0))
 		if outcome != zfreview.Answered {
 			e.record.Printf("caller: flow %s", outcome)
 			continue
@@ -98,7 +117,6 @@
 		flow.Close()
 		time.Sleep(workTime)
 	}
-	return countLate(e, servers, "hobart", judgedFrom), nil
 }
 
 // signal sends a signal to a process if the case runs with its disruption.
@@ -111,19 +129,17 @@
 }
 
 // countLate returns the number of flows that reached the servers of a zone after a time.
-func countLate(e environment, servers []*zfreview.Server, zone string, after time.Time) int {
-	late := 0
+func countLate(servers []*zfreview.Server, zone string, after time.Time) int {
+	count := 0
 	for _, s := range servers {
-		count := 0
+		if s.Zone() != zone {
+			continue
+		}
 		for _, arrival := range s.Arrivals() {
 			if arrival.At.After(after) {
 				count++
 			}
 		}
-		e.record.Printf("%s in %s: %d flows after the bound", s.ID(), s.Zone(), count)
-		if s.Zone() == zone {
-			late += count
-		}
 	}
-	return late
+	return count
 }
