Confirm evacuation orders against the control state

Cause: a control instance that went on after a suspension read an order from its socket that its caller had sent to another instance since, and passed it to the leader. The order has no version, so it undid the later one. A partition that holds back the bytes has the same effect at an instance that was never suspended, so neither the gap in the ticks nor the closed connection is proof.

Change: a command for a data centre is carried out only if it names the sequence of a control state since which the data centre has not changed (CentreCommand.AsOf, State.Returned). The leader compares when it applies the command, so that a delay anywhere on the way is covered. A leader refuses orders of followers of the version before, which take the new status for success.

Existing tests pass the sequence to their commands now; what they check stays.

--- a/core/zfcontrol/statemachine.go
+++ b/core/zfcontrol/statemachine.go
@@ -35,10 +35,15 @@
 	Version uint64
 }
 
-// CentreCommand takes a data centre out of service or brings it back.
+// CentreCommand takes a data centre out of service or brings it back. A delayed copy of
+// an earlier command must not undo a later one, so the operator has to confirm it against
+// the control state: one that would change the state has StatusUnconfirmed unless the
+// data centre has not changed since AsOf.
 type CentreCommand struct {
 	Centre zf.CentreName
 	Out    bool
+	// AsOf is the sequence of the control state that the operator has seen, or 0.
+	AsOf uint64
 }
 
 func (AcceptCommand) command() {}
@@ -67,16 +72,20 @@
 	StatusForeign
 	// StatusLastCentre means that the last data centre can't be taken out.
 	StatusLastCentre
+	// StatusUnconfirmed means that nothing was changed and that the command has to be
+	// repeated with the sequence of the outcome.
+	StatusUnconfirmed
 )
 
 var statusNames = [...]string{
-	StatusDone:       "done",
-	StatusAlready:    "already",
-	StatusConflict:   "conflict",
-	StatusStale:      "stale",
-	StatusUnknown:    "unknown",
-	StatusForeign:    "foreign",
-	StatusLastCentre: "last",
+	StatusDone:        "done",
+	StatusAlready:     "already",
+	StatusConflict:    "conflict",
+	StatusStale:       "stale",
+	StatusUnknown:     "unknown",
+	StatusForeign:     "foreign",
+	StatusLastCentre:  "last",
+	StatusUnconfirmed: "unconfirmed",
 }
 
 // Succeeded reports whether the state is as the command requested.
@@ -125,12 +134,14 @@
 	InForce uint64
 	// Centres are the data centres of the bundle in force.
 	Centres []zf.CentreName
-	// Out are the data centres taken out of service.
-	Out []Out
+	// Out are the data centres taken out of service, each by the change with Sequence.
+	// Returned are those that were out before.
+	Out      []CentreChange
+	Returned []CentreChange
 }
 
-// Out is a data centre taken out of service by the change with Sequence.
-type Out struct {
+// CentreChange is the last change of a data centre's service status.
+type CentreChange struct {
 	Centre   zf.CentreName
 	Sequence uint64
 }
@@ -308,12 +319,45 @@
 	accepted.Rolled = m.nextSequence()
 	m.state.InForce = command.Version
 	m.state.Centres = m.centres[command.Version]
-	m.state.Out = slices.DeleteFunc(slices.Clone(m.state.Out), func(out Out) bool {
-		return !slices.Contains(m.state.Centres, out.Centre)
-	})
+	for _, out := range m.state.Out {
+		if !slices.Contains(m.state.Centres, out.Centre) {
+			m.recordChange(out.Centre, false, accepted.Rolled)
+		}
+	}
 	return accepted.outcome(StatusDone, accepted.Rolled)
 }
 
+// recordChange moves a data centre to Out or to Returned.
+func (m *StateMachine) recordChange(centre zf.CentreName, out bool, sequence uint64) {
+	isCentre := func(c CentreChange) bool { return c.Centre == centre }
+	m.state.Out = slices.DeleteFunc(slices.Clone(m.state.Out), isCentre)
+	m.state.Returned = slices.DeleteFunc(slices.Clone(m.state.Returned), isCentre)
+	change := CentreChange{
+		Centre:   centre,
+		Sequence: sequence,
+	}
+	if out {
+		m.state.Out = append(m.state.Out, change)
+		return
+	}
+	m.state.Returned = append(m.state.Returned, change)
+}
+
+// lastChange returns the sequence of a data centre's last change, and whether it is out.
+func (m *StateMachine) lastChange(centre zf.CentreName) (sequence uint64, out bool) {
+	for _, c := range m.state.Out {
+		if c.Centre == centre {
+			return c.Sequence, true
+		}
+	}
+	for _, c := range m.state.Returned {
+		if c.Centre == centre {
+			return c.Sequence, false
+		}
+	}
+	return 0, false
+}
+
 func (m *StateMachine) setCentreOut(command CentreCommand) Outcome {
 	outcome := Outcome{
 		Status:   StatusUnknown,
@@ -323,29 +367,23 @@
 	if !slices.Contains(m.state.Centres, command.Centre) {
 		return outcome
 	}
-	i := slices.IndexFunc(m.state.Out, func(out Out) bool { return out.Centre == command.Centre })
+	changed, out := m.lastChange(command.Centre)
 	switch {
-	case command.Out == (i >= 0):
+	case command.Out == out:
 		outcome.Status = StatusAlready
-		if i >= 0 {
-			outcome.Sequence = m.state.Out[i].Sequence
+		if out {
+			outcome.Sequence = changed
 		}
 		return outcome
+	case command.AsOf == 0 || command.AsOf < changed || command.AsOf > m.state.Sequence:
+		outcome.Status = StatusUnconfirmed
+		return outcome
 	case command.Out && !m.config.AllowAllCentresOut && len(m.state.Out)+1 >= len(m.state.Centres):
 		outcome.Status = StatusLastCentre
 		return outcome
 	}
 	outcome.Status = StatusDone
 	outcome.Sequence = m.nextSequence()
-	out := slices.Clone(m.state.Out)
-	if command.Out {
-		out = append(out, Out{
-			Centre:   command.Centre,
-			Sequence: outcome.Sequence,
-		})
-	} else {
-		out = slices.Delete(out, i, i+1)
-	}
-	m.state.Out = out
+	m.recordChange(command.Centre, command.Out, outcome.Sequence)
 	return outcome
 }
--- a/core/zfcontrol/statemachine_test.go
+++ b/core/zfcontrol/statemachine_test.go
@@ -39,13 +39,19 @@
 	}
 }
 
-func centre(name zf.CentreName, out bool) zfcontrol.CentreCommand {
+func centre(name zf.CentreName, out bool, asOf uint64) zfcontrol.CentreCommand {
 	return zfcontrol.CentreCommand{
 		Centre: name,
 		Out:    out,
+		AsOf:   asOf,
 	}
 }
 
+// setCentre applies a command that is confirmed against the current state.
+func setCentre(m *zfcontrol.StateMachine, name zf.CentreName, out bool) zfcontrol.Outcome {
+	return m.Apply(centre(name, out, m.State().Sequence))
+}
+
 func assertStatus(t testing.TB, outcome zfcontrol.Outcome, want zfcontrol.Status) {
 	t.Helper()
 	zfassert.Equal(t, "status", outcome.Status.String(), want.String())
@@ -131,14 +137,68 @@
 	})
 	t.Run("data centres", func(t *testing.T) {
 		m := newStateMachine(t)
-		assertStatus(t, m.Apply(centre("one", true)), zfcontrol.StatusUnknown)
+		assertStatus(t, setCentre(m, "one", true), zfcontrol.StatusUnknown)
+		m.Apply(accept(1, "a"))
+		m.Apply(roll(1))
+		assertStatus(t, setCentre(m, "one", true), zfcontrol.StatusDone)
+		assertStatus(t, setCentre(m, "one", true), zfcontrol.StatusAlready)
+		assertStatus(t, setCentre(m, "two", true), zfcontrol.StatusLastCentre)
+		assertStatus(t, setCentre(m, "one", false), zfcontrol.StatusDone)
+		zfassert.Equal(t, "out", len(m.State().Out), 0)
+	})
+}
+
+// TestDelayedCentreCommand guards against a delayed copy of a command that undoes a later
+// one.
+func TestDelayedCentreCommand(t *testing.T) {
+	rolled := func(t testing.TB) *zfcontrol.StateMachine {
+		t.Helper()
+		m := newStateMachine(t)
 		m.Apply(accept(1, "a"))
 		m.Apply(roll(1))
-		assertStatus(t, m.Apply(centre("one", true)), zfcontrol.StatusDone)
-		assertStatus(t, m.Apply(centre("one", true)), zfcontrol.StatusAlready)
-		assertStatus(t, m.Apply(centre("two", true)), zfcontrol.StatusLastCentre)
-		assertStatus(t, m.Apply(centre("one", false)), zfcontrol.StatusDone)
+		return m
+	}
+	t.Run("a command that refers to no state changes nothing", func(t *testing.T) {
+		m := rolled(t)
+		outcome := m.Apply(centre("one", true, 0))
+		assertStatus(t, outcome, zfcontrol.StatusUnconfirmed)
+		zfassert.Equal(t, "sequence", outcome.Sequence, m.State().Sequence)
+		zfassert.Equal(t, "out", len(m.State().Out), 0)
+		assertStatus(t, m.Apply(centre("one", true, outcome.Sequence)), zfcontrol.StatusDone)
+	})
+	t.Run("a command that refers to an earlier state of the data centre changes nothing", func(t *testing.T) {
+		m := rolled(t)
+		setCentre(m, "one", true)
+		delayed := centre("one", false, m.State().Sequence)
+		setCentre(m, "one", false)
+		setCentre(m, "one", true)
+		assertStatus(t, m.Apply(delayed), zfcontrol.StatusUnconfirmed)
+		zfassert.Equal(t, "out", len(m.State().Out), 1)
+	})
+	t.Run("a command that refers to a later state changes nothing", func(t *testing.T) {
+		m := rolled(t)
+		assertStatus(t, m.Apply(centre("one", true, m.State().Sequence+1)), zfcontrol.StatusUnconfirmed)
+	})
+	t.Run("changes of other data centres and bundles don't delay a command", func(t *testing.T) {
+		m := rolled(t)
+		setCentre(m, "one", true)
+		confirmed := centre("one", false, m.State().Sequence)
+		m.Apply(accept(2, "b"))
+		m.Apply(roll(2))
+		assertStatus(t, m.Apply(confirmed), zfcontrol.StatusDone)
+	})
+	t.Run("a bundle without the data centre ends its time out as a change", func(t *testing.T) {
+		m := rolled(t)
+		delayed := centre("one", true, m.State().Sequence)
+		setCentre(m, "one", true)
+		without := accept(2, "b")
+		without.Bundle.Centres = without.Bundle.Centres[1:]
+		m.Apply(without)
+		m.Apply(roll(2))
+		m.Apply(accept(3, "c"))
+		m.Apply(roll(3))
 		zfassert.Equal(t, "out", len(m.State().Out), 0)
+		assertStatus(t, m.Apply(delayed), zfcontrol.StatusUnconfirmed)
 	})
 }
 
@@ -161,7 +221,7 @@
 			case 1:
 				m.Apply(roll(version))
 			default:
-				m.Apply(centre("one", digest == "0"))
+				setCentre(m, "one", digest == "0")
 			}
 			state := m.State()
 			if state.Sequence < last.Sequence || state.InForce < last.InForce {
--- a/core/zfcontroller/world_test.go
+++ b/core/zfcontroller/world_test.go
@@ -90,10 +90,11 @@
 	}
 }
 
-func takeOut(centre zf.CentreName) zfcontrol.Command {
+func takeOut(centre zf.CentreName, asOf uint64) zfcontrol.Command {
 	return zfcontrol.CentreCommand{
 		Centre: centre,
 		Out:    true,
+		AsOf:   asOf,
 	}
 }
 
@@ -215,25 +216,25 @@
 		},
 		{
 			name:    "a data centre is taken out",
-			command: takeOut("one"),
+			command: takeOut("one", 4),
 			status:  zfcontrol.StatusDone,
 			version: 9,
 		},
 		{
 			name:    "the same data centre again",
-			command: takeOut("one"),
+			command: takeOut("one", 4),
 			status:  zfcontrol.StatusAlready,
 			version: 9,
 		},
 		{
 			name:    "the last data centre is taken out",
-			command: takeOut("two"),
+			command: takeOut("two", 5),
 			status:  zfcontrol.StatusDone,
 			version: 9,
 		},
 		{
 			name:    "an unknown data centre",
-			command: takeOut("three"),
+			command: takeOut("three", 6),
 			status:  zfcontrol.StatusUnknown,
 			version: 9,
 		},
--- a/io/command/zfcmd/outcome.go
+++ b/io/command/zfcmd/outcome.go
@@ -41,6 +41,8 @@
 		return errors.Wrap(ErrRefused, "the bundle belongs to another deployment")
 	case zfcontrol.StatusLastCentre:
 		return errors.Wrap(ErrRefused, "the last data centre in service can't be taken out")
+	case zfcontrol.StatusUnconfirmed:
+		return errors.Wrap(ErrRefused, "the data centre was changed by another command meanwhile; check its status and try again")
 	default:
 		return errors.Wrap(ErrRefused, "no accepted bundle has this version, or the bundle in force has no data centre of this name")
 	}
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -37,9 +37,13 @@
 type AskArgs struct {
 	// Document is a bundle to put in force, compressed.
 	Document []byte
-	// Centre is the data centre to take out, or to bring back.
-	Centre zf.CentreName
-	Out    bool
+	// Centre is the data centre to take out, or to bring back. AsOf is the sequence of
+	// the control state that the operator has seen, or 0. Guarded is set by senders that
+	// know zfcontrol.StatusUnconfirmed; earlier versions take it for success.
+	Centre  zf.CentreName
+	Out     bool
+	AsOf    uint64
+	Guarded bool
 	// Known is the index of the state that the sender holds; the reply to a read
 	// omits a state with the same index.
 	Known uint64
--- a/io/zfcontrollerloop/call.go
+++ b/io/zfcontrollerloop/call.go
@@ -76,10 +76,12 @@
 
 // SetCentreOut takes a data centre out or brings it back, and returns once a majority
 // has the change on disk.
-func (l *Loop) SetCentreOut(name zf.CentreName, out bool) (zfcontrol.Outcome, error) {
+func (l *Loop) SetCentreOut(command zfcontrol.CentreCommand) (zfcontrol.Outcome, error) {
 	result, err := l.execute("centre", zfcluster.AskArgs{
-		Centre: name,
-		Out:    out,
+		Centre:  command.Centre,
+		Out:     command.Out,
+		AsOf:    command.AsOf,
+		Guarded: true,
 	})
 	return result.Outcome, err
 }
@@ -116,11 +118,7 @@
 		return result, err
 	}
 	if command != nil {
-		event := zfevent.CommandRefused
-		if result.Outcome.Status.Succeeded() {
-			event = zfevent.CommandDone
-		}
-		l.config.Logger.Entry(event).Str("command", name).Str("status", result.Outcome.Status.String()).
+		l.config.Logger.Entry(zfevent.OfCommand(result.Outcome.Status)).Str("command", name).Str("status", result.Outcome.Status.String()).
 			Uint64("version", result.Outcome.Version).Uint64("index", result.Index).Dur("took", took).Msg("")
 	}
 	return result, nil
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -235,6 +235,11 @@
 	if err != nil {
 		return zfcluster.AskReply{}, err
 	}
+	if args.Centre != "" && !args.Guarded {
+		return zfcluster.AskReply{
+			Refused: true,
+		}, nil
+	}
 	result, err := l.submit(command, true)
 	if err != nil {
 		return zfcluster.AskReply{
@@ -270,6 +275,7 @@
 		return zfcontrol.CentreCommand{
 			Centre: args.Centre,
 			Out:    args.Out,
+			AsOf:   args.AsOf,
 		}, nil
 	default:
 		return nil, nil
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/phuslu/log"
+
+	"zinniafront/core/zfcontrol"
 )
 
 // Event is one kind of log entry. The meaning of its number never changes.
@@ -67,6 +69,7 @@
 	SubscribersLoaded = register(3017, "followers loaded", log.InfoLevel)
 	// SubscribersSaveFailed only delays recovery after the next outage.
 	SubscribersSaveFailed = register(3018, "followers not saved", log.WarnLevel)
+	CommandUnconfirmed    = register(3019, "command to be confirmed", log.InfoLevel)
 )
 
 // The events of an instance with the forward role, besides those of an entry instance.
@@ -148,6 +151,19 @@
 	}
 }
 
+// OfCommand returns the event of a command's outcome. A command that found the state as
+// requested counts as carried out.
+func OfCommand(status zfcontrol.Status) Event {
+	switch {
+	case status.Succeeded():
+		return CommandDone
+	case status == zfcontrol.StatusUnconfirmed:
+		return CommandUnconfirmed
+	default:
+		return CommandRefused
+	}
+}
+
 // Entry starts an entry for an event; the entry's Msg method writes it.
 func (l *Logger) Entry(event Event) *log.Entry {
 	return l.logger.WithLevel(event.Level).Int("event", event.Number).Str("name", event.Name)
--- a/io/zfoperator/client.go
+++ b/io/zfoperator/client.go
@@ -7,6 +7,8 @@
 	"net/rpc"
 
 	"github.com/pkg/errors"
+
+	"zinniafront/core/zfcontrol"
 )
 
 // The errors of a client.
@@ -74,11 +76,18 @@
 	return reply, err
 }
 
-// Centre takes a data centre out or brings it back.
+// Centre takes a data centre out or brings it back. It confirms the command against the
+// control state, unless args do already.
 func (c *Client) Centre(ctx context.Context, args CentreArgs) (Reply, error) {
 	var reply Reply
 	err := c.call(ctx, "Centre", args, &reply)
-	return reply, err
+	if err != nil || args.AsOf != 0 || reply.Outcome.Status != zfcontrol.StatusUnconfirmed {
+		return reply, err
+	}
+	args.AsOf = reply.Outcome.Sequence
+	var confirmed Reply
+	err = c.call(ctx, "Centre", args, &confirmed)
+	return confirmed, err
 }
 
 // Status returns the control state and the progress of entry instances.
--- a/io/zfoperator/message.go
+++ b/io/zfoperator/message.go
@@ -20,10 +20,12 @@
 	Version uint64
 }
 
-// CentreArgs asks to take a data centre out or bring it back.
+// CentreArgs asks to take a data centre out or bring it back. AsOf is the sequence of the
+// control state that the operator has seen, or 0.
 type CentreArgs struct {
 	Centre zf.CentreName
 	Out    bool
+	AsOf   uint64
 }
 
 // Reply is the outcome of a command.
--- a/io/zfoperator/operator_test.go
+++ b/io/zfoperator/operator_test.go
@@ -215,6 +215,35 @@
 	})
 }
 
+// TestCentre guards against a delayed command that undoes a later one.
+func TestCentre(t *testing.T) {
+	set := func(t *testing.T, c *testControl, out bool, asOf uint64) zfcontrol.Outcome {
+		t.Helper()
+		reply, err := c.client.Centre(context.Background(), zfoperator.CentreArgs{
+			Centre: "arima",
+			Out:    out,
+			AsOf:   asOf,
+		})
+		zfassert.NoError(t, err)
+		return reply.Outcome
+	}
+	c := newControl(t)
+	c.accept(t, "1")
+	rolled := c.roll(t, 1)
+	t.Run("a client confirms its command", func(t *testing.T) {
+		assertStatus(t, set(t, c, true, 0), zfcontrol.StatusDone)
+		assertStatus(t, set(t, c, false, 0), zfcontrol.StatusDone)
+	})
+	t.Run("a command that was confirmed before a later one changes nothing", func(t *testing.T) {
+		assertStatus(t, set(t, c, true, rolled.Sequence), zfcontrol.StatusUnconfirmed)
+		reply, err := c.client.Fetch(context.Background(), zfoperator.FetchArgs{
+			Instance: "e",
+		})
+		zfassert.NoError(t, err)
+		zfassert.Equal(t, "out", len(reply.Out), 0)
+	})
+}
+
 // syncBuffer is a buffer for the log of a server, which has its own goroutine.
 type syncBuffer struct {
 	mutex  sync.Mutex
--- a/io/zfoperator/service.go
+++ b/io/zfoperator/service.go
@@ -216,13 +216,8 @@
 	return outcome, saveErr
 }
 
-// logOutcome logs a command as carried out also if the state already was as requested.
 func (s *Server) logOutcome(name string, outcome zfcontrol.Outcome) {
-	event := zfevent.CommandRefused
-	if outcome.Status.Succeeded() {
-		event = zfevent.CommandDone
-	}
-	s.config.Logger.Entry(event).Str("command", name).Str("status", outcome.Status.String()).
+	s.config.Logger.Entry(zfevent.OfCommand(outcome.Status)).Str("command", name).Str("status", outcome.Status.String()).
 		Uint64("sequence", outcome.Sequence).Uint64("version", outcome.Version).Msg("")
 }
 
