Reset flows of unresponsive data centres by evidence of their own

What callers saw: after three backend servers of a data centre crashed, an entry instance reset the open flows of the others there, which lived and were idle.

Cause: a data centre counts as unresponsive from three backend servers with unanswered requests. Route took that as evidence about every backend server there and reset each packet with data without forwarding it, so that no answer could end it; takeWaiting reset requests that had been retransmitted once.

Change: the finding only directs new flows elsewhere. A flow is reset if its own request was retransmitted twice, has waited for 0.4 s, and no backend server of the data centre has answered since it was sent.

--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -64,7 +64,8 @@
 }
 
 // detectUnresponsiveCentres finds the data centres whose backend servers have fallen
-// silent together. The callers whose requests wait there are to be sent resets.
+// silent together. Others there may still live, so that only the flows with abandoned
+// requests are ended.
 func (m *Mapper) detectUnresponsiveCentres(now time.Time) {
 	waiting := m.requests.waiting(now)
 	for centre, servers := range waiting.servers {
@@ -73,8 +74,8 @@
 			continue
 		}
 		centre.unresponsiveAt.Store(now.UnixNano())
-		m.endedFlows = append(m.endedFlows, m.requests.takeWaiting(centre)...)
 	}
+	m.endedFlows = append(m.endedFlows, m.requests.takeAbandoned(now)...)
 }
 
 // clearUnresponsive ends the unresponsiveness, after unresponsiveTimeout, of the data
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -50,9 +50,9 @@
 	// that time.
 	requestedAt        int64
 	acknowledgedBefore uint32
-	// repeated is true if the caller has retransmitted the request through this instance.
-	// Otherwise the answer may have been acknowledged through another one.
-	repeated bool
+	// retransmissions is how often the caller has retransmitted the request through this
+	// instance. With none, the answer may have been acknowledged through another one.
+	retransmissions int
 	// unanswered is true if the request has been counted as unanswered.
 	unanswered bool
 }
@@ -80,10 +80,19 @@
 	return nil
 }
 
-// recordData records a packet with a payload. It reports whether the packet
-// retransmits the one before, and whether it shows that the opening packet or the
-// previous request was answered.
-func (t *requestTable) recordData(hash uint64, stats *serverStats, packet *zf.Packet, now time.Time) (retransmitted, answered bool) {
+// dataResult is what a packet with a payload shows.
+type dataResult struct {
+	// retransmitted is true if the packet retransmits the one before.
+	retransmitted bool
+	// answered is true if the opening packet or the previous request was answered.
+	answered bool
+	// abandoned is true if the request counts as abandoned.
+	abandoned bool
+}
+
+// recordData records a packet with a payload.
+func (t *requestTable) recordData(hash uint64, stats *serverStats, packet *zf.Packet, now time.Time) dataResult {
+	var result dataResult
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	row := &t.rows[hash%requestRows]
@@ -94,20 +103,31 @@
 			stats: stats,
 		}
 	} else {
-		retransmitted = !row.opening && row.sequence == packet.Sequence
-		answered = row.markAnswered(packet.Acknowledged) || row.opening
+		result.retransmitted = !row.opening && row.sequence == packet.Sequence
+		result.answered = row.markAnswered(packet.Acknowledged) || row.opening
 	}
 	row.opening = false
 	row.sequence = packet.Sequence
 	row.lastData = now.UnixNano()
 	row.lastAcknowledged = packet.Acknowledged
-	row.repeated = row.repeated || retransmitted
-	if row.requestedAt == 0 && !retransmitted {
-		row.repeated = false
+	switch {
+	case result.retransmitted:
+		row.retransmissions++
+	case row.requestedAt == 0:
+		row.retransmissions = 0
 		row.requestedAt = row.lastData
 		row.acknowledgedBefore = packet.Acknowledged
 	}
-	return retransmitted, answered
+	result.abandoned = row.abandoned(now)
+	return result
+}
+
+// abandoned reports whether the request alone suggests that the backend server is dead:
+// it was retransmitted deadMisses times, has waited for deadTimeout, and no backend
+// server of the data centre has answered since.
+func (r *requestRow) abandoned(now time.Time) bool {
+	return r.requestedAt != 0 && r.retransmissions >= deadMisses && now.UnixNano()-r.requestedAt >= int64(deadTimeout) &&
+		r.requestedAt > r.stats.centre.lastAnswer.Load()
 }
 
 // recordAcknowledgement records a packet without a payload, which may show that a
@@ -172,7 +192,7 @@
 	counted := make(map[*serverStats]bool)
 	for i := range t.rows {
 		row := &t.rows[i]
-		if age := now.UnixNano() - row.requestedAt; row.requestedAt == 0 || !row.repeated || age < int64(answerTimeout) || age >= int64(maxWait) {
+		if age := now.UnixNano() - row.requestedAt; row.requestedAt == 0 || row.retransmissions == 0 || age < int64(answerTimeout) || age >= int64(maxWait) {
 			continue
 		}
 		if result.servers == nil {
@@ -190,15 +210,15 @@
 	return result
 }
 
-// takeWaiting removes the flows whose requests have waited since the last answer of a
-// data centre, and returns their last packets.
-func (t *requestTable) takeWaiting(centre *centreStats) []zf.Packet {
+// takeAbandoned removes the flows with abandoned requests to unresponsive data centres,
+// and returns their last packets.
+func (t *requestTable) takeAbandoned(now time.Time) []zf.Packet {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var last []zf.Packet
 	for i := range t.rows {
 		row := &t.rows[i]
-		if row.requestedAt != 0 && row.repeated && row.stats.centre == centre && row.requestedAt > centre.lastAnswer.Load() {
+		if row.abandoned(now) && row.stats.centre.unresponsive(false, now) {
 			last = append(last, row.takeLastPacket())
 		}
 	}
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -58,37 +58,42 @@
 		return drop(zf.ReasonUnknownCookie)
 	case server.State == zf.ServerGone && server.Proven:
 		return reset(zf.ReasonServerDead)
-	case packet.PayloadSize > 0 && server.stats.centre.unresponsive(server.Late, now):
-		return reset(zf.ReasonCentreUnresponsive) // Not observed: it proves nothing.
 	}
-	m.observe(server, &packet, now)
-	if server.Late && server.stats.unresponsive(now) && !m.suspended(now) {
+	abandoned := m.observe(server, &packet, now)
+	switch {
+	case m.suspended(now):
+		return forward(server)
+	case server.Late && server.stats.unresponsive(now):
 		return reset(zf.ReasonServerDead)
+	case abandoned && server.stats.centre.unresponsive(false, now):
+		return reset(zf.ReasonCentreUnresponsive)
+	default:
+		return forward(server)
 	}
-	return forward(server)
 }
 
 // observe updates the statistics of a backend server by a packet of one of its open
-// flows.
-func (m *Mapper) observe(s *server, packet *zf.Packet, now time.Time) {
+// flows. It reports whether the packet retransmits a request that counts as abandoned.
+func (m *Mapper) observe(s *server, packet *zf.Packet, now time.Time) (abandoned bool) {
 	hash := zfflow.Hash(m.config.Seed, packet.Flow)
 	switch {
 	case packet.Kind == zf.PacketClosing:
 		m.requests.recordEnd(hash, s.stats, packet.Acknowledged)
-		return
+		return false
 	case packet.PayloadSize == 0:
 		s.stats.recordAnswer(now) // A caller acknowledges only data it has received.
 		m.requests.recordAcknowledgement(hash, s.stats, packet.Acknowledged)
-		return
+		return false
 	}
 	s.stats.recordRequest()
-	retransmitted, answered := m.requests.recordData(hash, s.stats, packet, now)
+	result := m.requests.recordData(hash, s.stats, packet, now)
 	switch {
-	case answered:
+	case result.answered:
 		s.stats.recordAnswer(now)
-	case retransmitted:
+	case result.retransmitted:
 		m.recordMiss(s.stats, now)
 	}
+	return result.abandoned
 }
 
 // routeOpening chooses the backend server of a new flow. A retransmission of an opening
--- a/ports.go
+++ b/ports.go
@@ -56,9 +56,8 @@
 	// Loads returns the requests to each backend server since the last call.
 	Loads() []ServerLoad
 	// EndedFlows returns the last packet of each open flow whose backend server
-	// was found dead since the last call, or in a data centre found
-	// unresponsive. The callers have not been notified
-	// yet.
+	// was found dead since the last call, or whose request stays unanswered in a
+	// data centre found unresponsive. The callers have not been notified yet.
 	EndedFlows() []Packet
 	// UnresponsiveCentres returns the data centres whose backend servers have
 	// stopped answering together.
--- a/reason.go
+++ b/reason.go
@@ -45,8 +45,8 @@
 	ReasonUnknownRoute
 	ReasonUnknownCookie
 	ReasonServerDead
-	// ReasonCentreUnresponsive means that all backend servers of a data centre
-	// have stopped answering together.
+	// ReasonCentreUnresponsive means that a flow's request stays unanswered while the
+	// backend servers of its data centre have stopped answering together.
 	ReasonCentreUnresponsive
 
 	// Messages and announcements.
