Let old misses expire when a heartbeat becomes overdue

What callers would see: all flows of a backend server that lives are reset when one of its heartbeats is overdue, if the entry instance had two unanswered packets for it any time before and has seen no answer since, as after its callers moved to other instances.

Cause: misses were cleared by an answer only.

Change: when heartbeats become overdue, misses of 5 s ago or more are discarded; heartbeats have come since.

--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -205,6 +205,9 @@
 	stats := make(map[zf.ServerIncarnation]*serverStats, len(view.Servers))
 	for _, row := range view.Servers {
 		s := m.newServer(row, stats)
+		if row.Late && !s.stats.termination.heartbeatLate {
+			s.stats.expireMisses(now)
+		}
 		s.stats.termination.update(row, now)
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
 			continue // Cookie collision: the other backend server keeps the cookie.
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -352,6 +352,47 @@
 	}
 }
 
+// TestOldMisses guards against resets of a living backend server's flows when a heartbeat is
+// overdue long after requests to it were unanswered.
+func TestOldMisses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		age    time.Duration
+		action zf.Action
+	}{
+		{
+			name:   "unanswered requests since the last heartbeat",
+			age:    2 * time.Second,
+			action: zf.ActionReset,
+		},
+		{
+			name:   "unanswered requests long before the last heartbeat",
+			age:    20 * time.Second,
+			action: zf.ActionForward,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := view(row(1, "orders", "one"))
+			mapper := newMapper(v)
+			now := start
+			sendRequest(mapper, 2, "s1", now)
+			for range 3 {
+				sendRequest(mapper, 1, "s1", now)
+				now = tickUntil(mapper, v, now, now.Add(300*time.Millisecond))
+			}
+			now = tickUntil(mapper, v, now, now.Add(c.age))
+			mapper.Route(data(2, zfcookie.CookieOf("s1", start), 107), now)
+			overdue := row(1, "orders", "one")
+			overdue.Late = true
+			v = view(overdue)
+			v.Revision = 2
+			now = tickUntil(mapper, v, now, now.Add(300*time.Millisecond))
+			zfassert.Equal(t, "a flow is ended", len(mapper.EndedFlows()) > 0, c.action == zf.ActionReset)
+			zfassert.Equal(t, "action", mapper.Route(data(3, zfcookie.CookieOf("s1", start), 1), now).Action, c.action)
+		})
+	}
+}
+
 func TestTotalLoads(t *testing.T) {
 	v := view(row(1, "orders", "one"), row(2, "orders", "one"))
 	busy := []zf.ServerLoad{{
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -24,8 +24,10 @@
 	// misses counts the retransmissions by callers since the last answer. Each shows
 	// that the packet before it had no answer.
 	misses atomic.Int32
-	// firstMiss is when the first of them arrived, in Unix nanoseconds.
+	// firstMiss and lastMiss are when the first and the last of them arrived, in Unix
+	// nanoseconds.
 	firstMiss atomic.Int64
+	lastMiss  atomic.Int64
 	// nextOpening is the earliest time of the next new flow of a cold backend server,
 	// in Unix nanoseconds.
 	nextOpening atomic.Int64
@@ -66,6 +68,10 @@
 	// answer. A busy backend server answers late, and an instance that was suspended receives
 	// packets and their retransmissions at once although all of them were answered.
 	deadTimeout = answerTimeout
+	// missLifetime is the time after which a miss no longer counts when heartbeats become
+	// overdue. They do so some 3 s after the last one, so that the backend server has sent
+	// heartbeats since.
+	missLifetime = 5 * time.Second
 	// outcomeReports is the number of reports that include the counts of a backend
 	// server after a request to it was unanswered. They cover about five seconds.
 	outcomeReports = 10
@@ -152,9 +158,17 @@
 	if s.misses.Add(1) == 1 {
 		s.firstMiss.Store(now.UnixNano())
 	}
+	s.lastMiss.Store(now.UnixNano())
 	s.nextProbe.Store(now.Add(probeInterval).UnixNano())
 }
 
+// expireMisses discards the misses if the last one is older than missLifetime.
+func (s *serverStats) expireMisses(now time.Time) {
+	if now.UnixNano()-s.lastMiss.Load() >= int64(missLifetime) {
+		s.misses.Store(0)
+	}
+}
+
 // mayProbe reports whether the backend server may get an opening packet. One that is
 // only probed may get one per probeInterval, to detect whether it answers again.
 func (s *serverStats) mayProbe(now time.Time) bool {
