Fetch the changes since the first page of a table

Cause: the whole table is fetched in pages, then the changes since the cursor of the last page. What changed on an earlier page after that was sent lies before that cursor.

Change: the cursor of a session is that of its first page; a reply of another process between two pages starts over. Subscriber and PeerPoller had the same lines for this; both use Progress now.

TestSessionStart failed before for changes after the first page, after the second page, and with another process at the address. Why this is enough: a row that changes after the first page has a later revision than its cursor, so that it is among the changes, whichever page had it.

--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -77,7 +77,8 @@
 	// detection of silent backend servers and so also needs to know which instance
 	// receives their heartbeats.
 	Control bool
-	// Source and Cursor are those of the last reply, or 0.
+	// Source and Cursor identify the changes that the sender has, or are 0 until it has
+	// the whole table once.
 	Source uint64
 	Cursor uint64
 	// More repeats Changes.More of the last reply: more changes exist already.
--- a/io/zfcluster/page_test.go
+++ b/io/zfcluster/page_test.go
@@ -13,11 +13,16 @@
 	"zinniafront/lab/zfassert"
 )
 
+// manyName returns the name of the n-th backend server of announceMany.
+func manyName(n int) zf.ServerName {
+	return zf.ServerName(fmt.Sprintf("i-%010x", 0x9a414a11ac+n*7919))
+}
+
 // announceMany announces warm backend servers with names of the usual form.
 func announceMany(s *testFeedData, count int) {
 	for n := range count {
 		s.registry.Announce(zf.Announcement{
-			Server:   zf.ServerName(fmt.Sprintf("i-%010x", 0x9a414a11ac+n*7919)),
+			Server:   manyName(n),
 			Service:  "orders",
 			Centre:   "one",
 			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(n >> 8), byte(n)}), 8367),
--- a/io/zfcluster/subscriber.go
+++ b/io/zfcluster/subscriber.go
@@ -93,10 +93,8 @@
 	// peers are other entry instances.
 	peers  []netip.AddrPort
 	client *Client
-	// source and cursor are those of the last reply. They stay 0 until the other
-	// instance's whole table has been received once.
-	source uint64
-	cursor uint64
+	// progress is that of the session.
+	progress Progress
 	// nextCandidate is the index of the next instance to try.
 	nextCandidate int
 	// retryPause is the pause after the next round without success.
@@ -104,10 +102,6 @@
 	unreachable bool
 	// rowsToSend are the backend servers that the other instance lacks.
 	rowsToSend []zfregistry.Update
-	// more is set if the last reply didn't have all changes. bucket is where the next
-	// page begins while the other instance's whole table is being fetched.
-	more   bool
-	bucket int
 	// receivedIndex is the index of the control state received last. A control state
 	// that can't be decoded here is not fetched again.
 	receivedIndex uint64
@@ -206,11 +200,8 @@
 // disconnect.
 func (s *Subscriber) startSession(address netip.AddrPort, peer bool) {
 	s.client = NewClient(address, s.config.Clock)
-	s.source = 0
-	s.cursor = 0
+	s.progress = Progress{}
 	s.rowsToSend = nil
-	s.more = false
-	s.bucket = 0
 	s.receivedIndex = 0
 	s.stale = false
 	s.clientIsPeer = peer
@@ -248,25 +239,21 @@
 
 // fetch sends one fetch, applies the reply and decides whether the session goes on.
 func (s *Subscriber) fetch() {
-	state := s.config.FetchState(s.source == 0)
+	starting := s.progress.Starting()
+	state := s.config.FetchState(starting)
 	hold, margin := fetchHold, fetchMargin
 	switch {
-	case s.source == 0:
+	case starting:
 		hold, margin = 0, firstPageMargin
 	case s.stale:
 		hold = staleHold
 	}
-	start := s.config.Clock.Now()
-	reply, err := s.client.Fetch(FetchArgs{
+	args := FetchArgs{
 		Instance: s.config.Instance,
 		Centre:   s.config.Centre,
 		Address:  s.config.Address,
-		Source:   s.source,
-		Cursor:   s.cursor,
 		Index:    max(state.Index, s.receivedIndex),
-		More:     s.more,
 		Digests:  state.Digests,
-		Bucket:   s.bucket,
 		Outcomes: state.Outcomes,
 		Loads:    state.Loads,
 		Rows:     s.rowsToSend,
@@ -274,20 +261,17 @@
 		Stopping: state.Stopping,
 		Able:     state.Able,
 		Hold:     hold,
-	}, hold+margin)
+	}
+	s.progress.Request(&args)
+	start := s.config.Clock.Now()
+	reply, err := s.client.Fetch(args, hold+margin)
 	s.config.FetchTime.Update(s.config.Clock.Now().Sub(start))
 	if err != nil {
 		s.logReachability(true, err)
 		s.disconnect()
 		return
 	}
-	starting := s.source == 0
-	s.more = reply.Changes.More
-	s.bucket = reply.Changes.Next
-	if !starting || !s.more { // Until the last page, source 0 requests pages by digests.
-		s.source = reply.Source
-		s.cursor = reply.Changes.Cursor
-	}
+	s.progress.Record(reply)
 	s.receivedIndex = reply.Index
 	s.controls = reply.Controls
 	if len(reply.Peers) > 0 {
--- a/io/zfcontrollerloop/peerpoller.go
+++ b/io/zfcontrollerloop/peerpoller.go
@@ -97,20 +97,17 @@
 		Control:  true,
 		Hold:     peerHold,
 	}
+	var progress zfcluster.Progress
 	for {
 		args.Digests = nil
-		if args.Source == 0 {
+		if progress.Starting() {
 			args.Digests = p.loop.Digests()
 		}
+		progress.Request(&args)
 		reply, err := client.Fetch(args, peerHold+peerMargin)
 		pause := peerRetryPause
 		if err == nil {
-			args.More = reply.Changes.More
-			args.Bucket = reply.Changes.Next
-			if args.Source != 0 || !args.More { // Until the last page, Source 0 requests pages by digests.
-				args.Source = reply.Source
-				args.Cursor = reply.Changes.Cursor
-			}
+			progress.Record(reply)
 			p.loop.ApplyPeerReply(address, reply)
 			pause = 0
 		}
