Refuse heartbeats with fields out of range

What other operators reported: one odd entry of another writer among those of the hosts ended the machines that read the list, or had them stop following it. Here no process ends, but such entries were accepted: a start time in the far future replaces a backend server that lives and has its own heartbeats refused, a sequence near 2^64 has them discarded, names of megabytes are copied to every instance, and a cold start of 1e300 ms overflows differently on each processor.

Cause: fields were checked for presence and type only.

--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -66,6 +66,9 @@
 	// coldSlack is the difference between two reports of the end of a cold
 	// start below which the change is not reported to other instances.
 	coldSlack = 400 * time.Millisecond
+	// maxClockError is how far a start time may be in the future. One that is further
+	// would have all later incarnations refused as earlier ones.
+	maxClockError = time.Hour
 	// suspectSlack is the time by which a suspicion must be extended to count
 	// as a change; it covers the transmission time between instances.
 	suspectSlack = time.Second
@@ -186,6 +189,9 @@
 // Backend servers repeat it as their heartbeat. It returns ReasonNone if the
 // announcement was accepted.
 func (t *Table) Announce(a zf.Announcement, now time.Time) zf.Reason {
+	if a.Born.Sub(now) > maxClockError {
+		return zf.ReasonBadField
+	}
 	if row := t.rows[zf.NewServerIncarnation(a.Server, a.Born)]; row != nil && (a.Sequence <= row.Sequence || row.Proven) {
 		return zf.ReasonStale
 	}
--- a/io/zfcontrollerloop/call.go
+++ b/io/zfcontrollerloop/call.go
@@ -21,12 +21,12 @@
 
 // Announce records the announcement of a backend server. It returns the host of the
 // heartbeat receiver for the next ones, or the zero value if there is none.
-func (l *Loop) Announce(a zf.Announcement) (netip.Addr, error) {
-	var receiver netip.Addr
-	err := l.do(func(now time.Time) {
+// reason is why the table of backend servers refused it.
+func (l *Loop) Announce(a zf.Announcement) (receiver netip.Addr, reason zf.Reason, err error) {
+	err = l.do(func(now time.Time) {
 		registry := l.config.World.Registry()
 		before := registry.ContentRevision()
-		reason := registry.Announce(a, now)
+		reason = registry.Announce(a, now)
 		receiver = l.config.World.HeartbeatReceiver(a.Server, a.Centre, now).Addr()
 		l.config.Counters.AnnounceTaken.Inc(1)
 		if reason != zf.ReasonNone {
@@ -36,7 +36,7 @@
 			l.logAnnouncement(a, reason, now)
 		}
 	})
-	return receiver, err
+	return receiver, reason, err
 }
 
 func (l *Loop) logAnnouncement(a zf.Announcement, reason zf.Reason, now time.Time) {
