Test disks that are full one after another

Other operators reported that the disks of counted machines were full for some seconds each, never two at once, and that changes stayed refused or unanswered long after the last had room again. No test shows that here:

- zfstore: a save after saves that failed, one of them midway.

--- a/core/zfquorum/cluster_test.go
+++ b/core/zfquorum/cluster_test.go
@@ -38,10 +38,12 @@
 	// lastEntry is the last entry seen in the replica.
 	lastEntry zfquorum.Entry
 	// restartAt is the end of an outage, isolatedUntil the end of a network
-	// partition, and slowUntil the end of a period with a slow disk.
+	// partition, slowUntil the end of a period with a slow disk, and fullUntil that of one
+	// in which no record can be saved.
 	restartAt     time.Time
 	isolatedUntil time.Time
 	slowUntil     time.Time
+	fullUntil     time.Time
 	// suspendedUntil is the end of a suspension. The instance's monotonic clock
 	// stands still during suspensions and is behind by clockLag.
 	suspendedUntil time.Time
@@ -244,7 +246,7 @@
 		inst.replica.MarkSaved(inst.disk.serial, c.localTime(inst))
 	}
 	c.checkVoters(inst)
-	if record, serial, ok := inst.replica.Unsaved(); ok && inst.disk.pending == nil {
+	if record, serial, ok := inst.replica.Unsaved(); ok && inst.disk.pending == nil && !c.now.Before(inst.fullUntil) {
 		inst.disk.pending = &record
 		inst.disk.serial = serial
 		inst.disk.savedAt = c.now.Add(step * time.Duration(1+c.random.IntN(4)))
--- a/io/zfcontrollerloop/offer_test.go
+++ b/io/zfcontrollerloop/offer_test.go
@@ -8,10 +8,13 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	zf "zinniafront"
+	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfcontroller"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
@@ -19,6 +22,7 @@
 	"zinniafront/io/zfcluster"
 	"zinniafront/io/zfcontrollerloop"
 	"zinniafront/io/zfcounter"
+	"zinniafront/io/zfdocument"
 	"zinniafront/io/zfevent"
 	"zinniafront/lab/zfassert"
 )
@@ -85,8 +89,20 @@
 	}
 )
 
+// decodeVersion returns a bundle whose version is the document.
+func decodeVersion(compressed []byte) (*zfbundle.Bundle, error) {
+	document, err := zfdocument.Decompress(compressed)
+	if err != nil {
+		return nil, err
+	}
+	version, err := strconv.ParseUint(string(document), 10, 64)
+	return &zfbundle.Bundle{
+		Version: version,
+	}, err
+}
+
 // newLoop returns the loop of a control instance without peers.
-func newLoop(subscribers *memoryStore) *zfcontrollerloop.Loop {
+func newLoop(records, subscribers zf.Store) *zfcontrollerloop.Loop {
 	clock := &fastClock{}
 	return zfcontrollerloop.New(zfcontrollerloop.Config{
 		World: zfcontroller.New(zfcontroller.Config{
@@ -101,12 +117,15 @@
 				},
 			},
 			Registry: zfregistry.DefaultConfig(1, time.Second),
+			Decode:   decodeVersion,
 		}, start),
 		Source:          1,
-		RecordStore:     &memoryStore{},
+		RecordStore:     records,
 		ServerStore:     &memoryStore{},
 		SubscriberStore: subscribers,
 		Transport:       zfcluster.NewTransport(zfclock.System{}),
+		Decode:          decodeVersion,
+		Digest:          func(document []byte) string { return string(document) },
 		Clock:           clock,
 		Counters:        zfcounter.New(),
 		Logger: zfevent.New(zfevent.Config{
@@ -148,7 +167,7 @@
 		address, e := serve(t)
 		var text bytes.Buffer
 		zfassert.NoError(t, gob.NewEncoder(&text).Encode([]netip.AddrPort{address}))
-		loop := newLoop(&memoryStore{
+		loop := newLoop(&memoryStore{}, &memoryStore{
 			text: text.Bytes(),
 		})
 		zfassert.NoError(t, loop.LoadSubscribers())
@@ -159,7 +178,7 @@
 		subscribers := &memoryStore{
 			saves: make(chan []byte, 1),
 		}
-		loop := newLoop(subscribers)
+		loop := newLoop(&memoryStore{}, subscribers)
 		zfassert.NoError(t, loop.LoadSubscribers())
 		run(t, loop)
 		subscriber := netip.MustParseAddrPort("10.0.0.1:7000")
@@ -174,7 +193,7 @@
 		zfassert.Equal(t, "followers", saved, []netip.AddrPort{subscriber})
 	})
 	t.Run("corrupt addresses are an error", func(t *testing.T) {
-		loop := newLoop(&memoryStore{
+		loop := newLoop(&memoryStore{}, &memoryStore{
 			text: []byte("damaged"),
 		})
 		zfassert.True(t, "an error", loop.LoadSubscribers() != nil)
--- a/io/zfstore/file_test.go
+++ b/io/zfstore/file_test.go
@@ -44,6 +44,21 @@
 		zfassert.NoError(t, os.WriteFile(filepath.Join(path, "state.new"), []byte("zinnia"), 0o600))
 		assertDocument(t, file, "one")
 	})
+	t.Run("a save succeeds after saves that failed", func(t *testing.T) {
+		path := t.TempDir()
+		file := openFolder(t, path).File("state")
+		zfassert.NoError(t, file.Save([]byte("one")))
+		temp := filepath.Join(path, "state.new")
+		zfassert.NoError(t, os.Mkdir(temp, 0o700)) // The temporary file can't be created.
+		for range 3 {
+			zfassert.True(t, "the save fails", file.Save([]byte("two")) != nil)
+		}
+		assertDocument(t, file, "one")
+		zfassert.NoError(t, os.Remove(temp))
+		zfassert.NoError(t, os.WriteFile(temp, []byte("zinnia"), 0o600)) // A write that failed midway.
+		zfassert.NoError(t, file.Save([]byte("three")))
+		assertDocument(t, file, "three")
+	})
 	t.Run("corruption of any byte is refused", func(t *testing.T) {
 		path := t.TempDir()
 		file := openFolder(t, path).File("state")
