Refuse heartbeats of services that a backend server can't have

Cause: a heartbeat with a later start time replaces the backend server at its id or address, whatever service it names. One with the same start time moved it to another service.

Change: a control instance refuses a new incarnation whose service the bundle in force doesn't name, and a known one that names another service than it had. Without a bundle every service is accepted, and a service that is dropped keeps the backend servers that are known.

--- a/core/zfcontroller/server.go
+++ b/core/zfcontroller/server.go
@@ -21,6 +21,39 @@
 	outlierInterval = 200 * time.Millisecond
 )
 
+// Announce records an announcement that a backend server sent to this instance. A new
+// incarnation must belong to a service of the bundle in force, and a known one to the service
+// that it had: another writer's announcement would replace a backend server that lives.
+func (w *World) Announce(a zf.Announcement, now time.Time) zf.Reason {
+	row := w.registry.FindIncarnation(a.Server, a.Born)
+	switch {
+	case row != nil && row.Service != a.Service:
+		return zf.ReasonBadField
+	case row == nil && !w.hasService(a.Service):
+		return zf.ReasonUnknownService
+	default:
+		return w.registry.Announce(a, now)
+	}
+}
+
+// hasService reports whether the bundle in force has a service. Without a bundle that can be
+// read here every service may exist.
+func (w *World) hasService(name zf.ServiceName) bool {
+	_, state := w.CommittedState()
+	if w.servicesVersion != state.InForce {
+		bundle, err := w.config.Decode(DocumentInForce(state))
+		if err != nil {
+			return true
+		}
+		w.servicesVersion = state.InForce
+		w.services = make(map[zf.ServiceName]bool, len(bundle.Services))
+		for _, service := range bundle.Services {
+			w.services[service.Name] = true
+		}
+	}
+	return w.servicesVersion == 0 || w.services[name]
+}
+
 // MergeChanges merges another control instance's changes into the registry of
 // backend servers.
 func (w *World) MergeChanges(from netip.AddrPort, changes zfregistry.Changes, now time.Time) {
--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -108,6 +108,9 @@
 	// quorumSince is the start of the current contact with a majority.
 	quorumSince time.Time
 	lastTick    time.Time
+	// services are those of the bundle with servicesVersion.
+	services        map[zf.ServiceName]bool
+	servicesVersion uint64
 }
 
 // New returns a world.
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -185,6 +185,11 @@
 // Find returns the row of a backend server's latest incarnation, or nil.
 func (t *Table) Find(name zf.ServerName) *Row { return t.names[name] }
 
+// FindIncarnation returns the row of one incarnation of a backend server, or nil.
+func (t *Table) FindIncarnation(name zf.ServerName, born time.Time) *Row {
+	return t.rows[zf.NewServerIncarnation(name, born)]
+}
+
 // Announce records an announcement that a backend server sent to this instance.
 // Backend servers repeat it as their heartbeat. It returns ReasonNone if the
 // announcement was accepted.
--- a/io/zfcontrollerloop/call.go
+++ b/io/zfcontrollerloop/call.go
@@ -26,7 +26,7 @@
 	err = l.do(func(now time.Time) {
 		registry := l.config.World.Registry()
 		before := registry.ContentRevision()
-		reason = registry.Announce(a, now)
+		reason = l.config.World.Announce(a, now)
 		receiver = l.config.World.HeartbeatReceiver(a.Server, a.Centre, now).Addr()
 		l.config.Counters.AnnounceTaken.Inc(1)
 		if reason != zf.ReasonNone {
