--- a/io/zfcontrollerloop/call.go
+++ b/io/zfcontrollerloop/call.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	zf "zinniafront"
@@ -114,16 +115,26 @@
 	took := l.config.Clock.Now().Sub(start)
 	l.config.Counters.AskTime.Update(took)
 	if err != nil {
-		l.config.Logger.Entry(zfevent.OperationUnanswered).Str("ask", name).Dur("took", took).Err(err).Msg("")
+		l.commandEntry(zfevent.OperationUnanswered, args).Str("ask", name).Dur("took", took).Err(err).Msg("")
 		return result, err
 	}
 	if command != nil {
-		l.config.Logger.Entry(zfevent.OfCommand(result.Outcome.Status)).Str("command", name).Str("status", result.Outcome.Status.String()).
-			Uint64("version", result.Outcome.Version).Uint64("index", result.Index).Dur("took", took).Msg("")
+		outcome := result.Outcome
+		l.commandEntry(zfevent.OfCommand(outcome.Status), args).Str("command", name).Str("status", outcome.Status.String()).
+			Uint64("sequence", outcome.Sequence).Uint64("version", outcome.Version).Uint64("index", result.Index).Dur("took", took).Msg("")
 	}
 	return result, nil
 }
 
+// commandEntry starts the log entry of an operation.
+func (l *Loop) commandEntry(event zfevent.Event, args zfcluster.AskArgs) *log.Entry {
+	entry := l.config.Logger.Entry(event)
+	if args.Centre == "" {
+		return entry
+	}
+	return entry.Str("centre", string(args.Centre)).Bool("out", args.Out).Uint64("asof", args.AsOf)
+}
+
 // forward sends an operation to the leader.
 func (l *Loop) forward(leader zfquorum.Node, args zfcluster.AskArgs) (zfcontroller.Result, error) {
 	var index uint64
--- a/io/zfoperator/service.go
+++ b/io/zfoperator/service.go
@@ -200,14 +200,14 @@
 		before := s.stateMachine.State()
 		outcome = s.stateMachine.Apply(command)
 		if outcome.Status != zfcontrol.StatusDone {
-			s.logOutcome(name, outcome)
+			s.logOutcome(name, command, outcome)
 			return
 		}
 		if saveErr = s.saveState(); saveErr != nil {
 			s.restoreState(before)
 			return
 		}
-		s.logOutcome(name, outcome)
+		s.logOutcome(name, command, outcome)
 		s.answerFetches()
 	})
 	if err != nil {
@@ -216,8 +216,12 @@
 	return outcome, saveErr
 }
 
-func (s *Server) logOutcome(name string, outcome zfcontrol.Outcome) {
-	s.config.Logger.Entry(zfevent.OfCommand(outcome.Status)).Str("command", name).Str("status", outcome.Status.String()).
+func (s *Server) logOutcome(name string, command zfcontrol.Command, outcome zfcontrol.Outcome) {
+	entry := s.config.Logger.Entry(zfevent.OfCommand(outcome.Status))
+	if centre, ok := command.(zfcontrol.CentreCommand); ok {
+		entry = entry.Str("centre", string(centre.Centre)).Bool("out", centre.Out).Uint64("asof", centre.AsOf)
+	}
+	entry.Str("command", name).Str("status", outcome.Status.String()).
 		Uint64("sequence", outcome.Sequence).Uint64("version", outcome.Version).Msg("")
 }
 
