--- a/io/zfcontrollerloop/offer_test.go
+++ b/io/zfcontrollerloop/offer_test.go
@@ -98,6 +98,9 @@
 	version, err := strconv.ParseUint(string(document), 10, 64)
 	return &zfbundle.Bundle{
 		Version: version,
+		Centres: []zfbundle.Centre{{
+			Name: "one",
+		}},
 	}, err
 }
 
