Judge no data centre by packets that waited during a suspension

Cause: an entry instance that goes on after a suspension reads the requests and retransmissions that waited for it. Other instances have served them meanwhile, so that their answers are never seen here, and 0.4 s later the data centre seemed unresponsive.

Change: packets read within 0.4 s after a suspension start no wait for an answer, as they already count no miss.

--- a/core/zfcookie/centre_test.go
+++ b/core/zfcookie/centre_test.go
@@ -363,3 +363,52 @@
 		assertForward(t, requestTo(mapper, last, 9001, now))
 	})
 }
+
+// TestResumedInstance guards against resets of flows that other instances serve, when an
+// instance that was suspended reads the requests and retransmissions that waited for it.
+func TestResumedInstance(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// late has them be read after the first tick that follows the suspension.
+		late bool
+	}{
+		{
+			name: "read before the first tick",
+		},
+		{
+			name: "read after the first tick",
+			late: true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := centreView(false)
+			mapper := newMapper(v)
+			mapper.Tick(start, v)
+			now := start.Add(2 * time.Second)
+			if c.late {
+				mapper.Tick(now, v)
+				now = now.Add(time.Millisecond)
+			}
+			for n := range centreSize {
+				for range 3 {
+					requestTo(mapper, v.Servers[centreSize+n].Name, 9000+n, now)
+				}
+			}
+			if !c.late {
+				mapper.Tick(now, v)
+			}
+			for end := now.Add(time.Second); now.Before(end); {
+				answered := data(int(end.Sub(now)/time.Millisecond), zfcookie.CookieOf("s1", start), 1)
+				mapper.Route(answered, now)
+				mapper.Route(acknowledgementOf(answered), now)
+				now = now.Add(100 * time.Millisecond)
+				mapper.Tick(now, v)
+				zfassert.Equal(t, "unresponsive", len(mapper.UnresponsiveCentres(now)), 0)
+			}
+			assertEnded(t, mapper)
+			for _, outcome := range mapper.Outcomes() {
+				zfassert.Equal(t, "unanswered requests of "+string(outcome.Server), outcome.Unanswered, 0)
+			}
+		})
+	}
+}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -187,10 +187,16 @@
 	return now.UnixNano()-m.lastMaintenance.Load() >= int64(maxSweepGap)
 }
 
+// resumed reports whether this instance has just gone on after a suspension, so that packets
+// may have waited for it.
+func (m *Mapper) resumed(now time.Time) bool {
+	return now.UnixNano()-m.resumedAt.Load() < int64(answerTimeout)
+}
+
 // recordMiss records a packet without an answer, unless it may have waited for this
 // instance during a suspension.
 func (m *Mapper) recordMiss(s *serverStats, now time.Time) {
-	if now.UnixNano()-m.resumedAt.Load() >= int64(answerTimeout) {
+	if !m.resumed(now) {
 		s.recordMiss(now)
 	}
 }
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -90,8 +90,10 @@
 	abandoned bool
 }
 
-// recordData records a packet with a payload.
-func (t *requestTable) recordData(hash uint64, stats *serverStats, packet *zf.Packet, now time.Time) dataResult {
+// recordData records a packet with a payload. queued is true if it may have waited for this
+// instance during a suspension: then it may have been answered through another one, and
+// whether it is answered here is not followed.
+func (t *requestTable) recordData(hash uint64, stats *serverStats, packet *zf.Packet, queued bool, now time.Time) dataResult {
 	var result dataResult
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -111,6 +113,7 @@
 	row.lastData = now.UnixNano()
 	row.lastAcknowledged = packet.Acknowledged
 	switch {
+	case queued:
 	case result.retransmitted:
 		row.retransmissions++
 	case row.requestedAt == 0:
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -86,7 +86,7 @@
 		return false
 	}
 	s.stats.recordRequest()
-	result := m.requests.recordData(hash, s.stats, packet, now)
+	result := m.requests.recordData(hash, s.stats, packet, m.resumed(now), now)
 	switch {
 	case result.answered:
 		s.stats.recordAnswer(now)
--- a/lab/zfsoak/soak_test.go
+++ b/lab/zfsoak/soak_test.go
@@ -30,7 +30,8 @@
 		cause: "a paused control instance delayed heartbeats, and an entry instance that resumed from a pause" +
 			" took answered packets and their retransmissions for unanswered ones: an active flow was reset; again" +
 			" when a silent control instance made late all backend servers whose heartbeats it receives; again when" +
-			" the retransmissions were read only after the first tick that followed the pause",
+			" the retransmissions were read only after the first tick that followed the pause; again when they" +
+			" made a data centre seem unresponsive, which reset the flows of all its backend servers for a second",
 	},
 	{
 		seed: 9948,
