--- a/io/zfcluster/session_test.go
+++ b/io/zfcluster/session_test.go
@@ -61,6 +61,7 @@
 	}
 }
 
+// unchanged leaves the table as it is.
 func unchanged(*changingInstance) {}
 
 // restart has another process take over the address, with a feed of its own.
@@ -71,10 +72,12 @@
 	})
 }
 
-func both(first, second func(*changingInstance)) func(*changingInstance) {
+// all makes several changes.
+func all(changes ...func(*changingInstance)) func(*changingInstance) {
 	return func(i *changingInstance) {
-		first(i)
-		second(i)
+		for _, change := range changes {
+			change(i)
+		}
 	}
 }
 
@@ -148,15 +151,15 @@
 		},
 		{
 			name:    "some drain after the first page",
-			changes: []func(*changingInstance){both(drain(1), both(drain(600), drain(1199)))},
+			changes: []func(*changingInstance){all(drain(1), drain(600), drain(1199))},
 		},
 		{
 			name:    "some drain after the second page",
-			changes: []func(*changingInstance){unchanged, both(drain(1), both(drain(600), drain(1199)))},
+			changes: []func(*changingInstance){unchanged, all(drain(1), drain(600), drain(1199))},
 		},
 		{
 			name:    "another process takes over the address after the first page",
-			changes: []func(*changingInstance){both(restart, both(drain(1), both(drain(600), drain(1199))))},
+			changes: []func(*changingInstance){all(restart, drain(1), drain(600), drain(1199))},
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
