Log why and of which backend server a flow is reset, and flows that change theirs

A reset for silence (two unanswered packets and an overdue heartbeat) had the same reason as one for a certain end, 5005 didn't show overdue heartbeats, and a flow whose packets went to another backend server left no line. The limit of ten lines a second was shared with opening packets and probes, so that a reset of an open flow could be suppressed.

Now serverunresponsive is a reason and a counter of its own, flows that are ended without a packet keep their reason, 5002 names the backend server, 5005 has late, 5007 reports an open flow whose cookie changed, and decisions on open flows have a limit of their own. No decision changes.

--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -39,22 +39,34 @@
 	}
 }
 
-// dead reports whether the backend server has ended: its end has been certain for
-// leaveGrace, or its heartbeats are overdue and it is unresponsive. Route sends resets
-// as soon as the end is certain.
-func (s *serverStats) dead(now time.Time) bool {
-	if !s.termination.provenAt.IsZero() && now.Sub(s.termination.provenAt) >= leaveGrace {
-		return true
+// dead returns why the backend server is considered to have ended: its end has been
+// certain for leaveGrace, or its heartbeats are overdue and it is unresponsive. It returns
+// ReasonNone if it may live. Route sends resets as soon as the end is certain.
+func (s *serverStats) dead(now time.Time) zf.Reason {
+	switch {
+	case !s.termination.provenAt.IsZero() && now.Sub(s.termination.provenAt) >= leaveGrace:
+		return zf.ReasonServerDead
+	case s.termination.heartbeatLate && s.unresponsive(now):
+		return zf.ReasonServerUnresponsive
+	default:
+		return zf.ReasonNone
 	}
-	return s.termination.heartbeatLate && s.unresponsive(now)
+}
+
+// end describes why the flows of a backend server end, and until when their last packets
+// came.
+type end struct {
+	until  time.Time
+	reason zf.Reason
 }
 
 // endFlows collects the flows of backend servers that were found to be dead, so that
 // their callers are sent resets before they lose their next request.
 func (m *Mapper) endFlows(now time.Time) {
-	var dead map[*serverStats]time.Time
+	var dead map[*serverStats]end
 	for _, stats := range m.stats {
-		if !stats.dead(now) {
+		reason := stats.dead(now)
+		if reason == zf.ReasonNone {
 			stats.termination.flowsEnded = false
 			continue
 		}
@@ -63,20 +75,24 @@
 		}
 		stats.termination.flowsEnded = true
 		if dead == nil {
-			dead = make(map[*serverStats]time.Time)
+			dead = make(map[*serverStats]end)
 		}
-		dead[stats] = now
+		until := now
 		if stats.termination.restarted {
-			dead[stats] = stats.termination.provenAt.Add(-announceDelay)
+			until = stats.termination.provenAt.Add(-announceDelay)
+		}
+		dead[stats] = end{
+			until:  until,
+			reason: reason,
 		}
 	}
 	if dead != nil {
-		m.endedFlows = append(m.endedFlows, m.requests.takeLastPackets(dead, now)...)
+		m.endedFlows = append(m.endedFlows, m.requests.takeEnded(dead, now)...)
 	}
 }
 
 // EndedFlows implements zinniafront.Observer.
-func (m *Mapper) EndedFlows() []zf.Packet {
+func (m *Mapper) EndedFlows() []zf.EndedFlow {
 	ended := m.endedFlows
 	m.endedFlows = nil
 	return ended
--- a/core/zfcookie/ended_test.go
+++ b/core/zfcookie/ended_test.go
@@ -21,7 +21,7 @@
 	for _, port := range ports {
 		found := false
 		for _, packet := range ended {
-			found = found || packet.Flow == flow(port)
+			found = found || packet.Last.Flow == flow(port)
 		}
 		zfassert.True(t, "flow that ended", found)
 	}
@@ -105,7 +105,7 @@
 		declareDead(mapper, start)
 		acknowledged := make(map[zf.Flow]uint32)
 		for _, packet := range mapper.EndedFlows() {
-			acknowledged[packet.Flow] = packet.Acknowledged
+			acknowledged[packet.Last.Flow] = packet.Last.Acknowledged
 		}
 		zfassert.Equal(t, "acknowledged", acknowledged[flow(1)], uint32(50))
 	})
--- a/core/zfcookie/living_test.go
+++ b/core/zfcookie/living_test.go
@@ -58,8 +58,8 @@
 		requestTo(mapper, last, 9000, start)
 		requestTo(mapper, last, 9000, start.Add(retransmissionDelays[0]))
 		now := crash(mapper, 3, v)
-		for _, packet := range mapper.EndedFlows() {
-			zfassert.True(t, "a flow of a crashed backend server", packet.Flow.Source.Port() != 9000)
+		for _, ended := range mapper.EndedFlows() {
+			zfassert.True(t, "a flow of a crashed backend server", ended.Last.Flow.Source.Port() != 9000)
 		}
 		assertForward(t, requestTo(mapper, last, 9001, now))
 	})
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -43,9 +43,8 @@
 	// resumedAt is when this instance last went on after a suspension, in Unix
 	// nanoseconds.
 	resumedAt atomic.Int64
-	// endedFlows holds the last packets of ended flows whose callers have to be sent
-	// resets.
-	endedFlows []zf.Packet
+	// endedFlows holds the ended flows whose callers have to be sent resets.
+	endedFlows []zf.EndedFlow
 }
 
 // snapshot is the immutable state that the traffic goroutines read.
@@ -282,6 +281,7 @@
 	stats := m.stats[incarnation]
 	if stats == nil {
 		stats = &serverStats{
+			number: row.Number,
 			centre: m.centreOf(row.Centre),
 		}
 	}
--- a/core/zfcookie/outcome_test.go
+++ b/core/zfcookie/outcome_test.go
@@ -139,3 +139,31 @@
 		mapper.Tick(from.Add(after), v)
 	}
 }
+
+func TestMovedFlow(t *testing.T) {
+	mapper := newMapper(view(row(1, "orders", "one"), row(2, "orders", "one")))
+	first, second := zfcookie.CookieOf("s1", start), zfcookie.CookieOf("s2", start)
+	for _, c := range []struct {
+		name     string
+		cookie   zf.Cookie
+		previous uint64
+	}{
+		{
+			name:   "the first request",
+			cookie: first,
+		},
+		{
+			name:   "the next one to the same backend server",
+			cookie: first,
+		},
+		{
+			name:     "one to another backend server",
+			cookie:   second,
+			previous: 1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			zfassert.Equal(t, "previous", mapper.Route(data(1, c.cookie, 1), start).Previous, c.previous)
+		})
+	}
+}
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -88,6 +88,9 @@
 	answered bool
 	// abandoned is true if the request counts as abandoned.
 	abandoned bool
+	// previous is the number of another backend server that an earlier packet of the
+	// open flow was forwarded to, or 0.
+	previous uint64
 }
 
 // recordData records a packet with a payload. queued is true if it may have waited for this
@@ -99,6 +102,9 @@
 	defer t.mutex.Unlock()
 	row := &t.rows[hash%requestRows]
 	if row.hash != hash || row.stats != stats {
+		if row.hash == hash && !row.opening && row.stats.number != stats.number {
+			result.previous = row.stats.number
+		}
 		*row = requestRow{
 			hash:  hash,
 			flow:  packet.Flow,
@@ -156,35 +162,40 @@
 	t.mutex.Unlock()
 }
 
-// takeLastPackets removes the open flows of dead backend servers from the table and
-// returns their last packets. dead holds a time for each of them; flows with a later
-// packet are left out, and those idle for flowIdleTimeout.
-func (t *requestTable) takeLastPackets(dead map[*serverStats]time.Time, now time.Time) []zf.Packet {
+// takeEnded removes the open flows of dead backend servers from the table and
+// returns them. Flows with a packet later than end.until are left out, and those idle for
+// flowIdleTimeout.
+func (t *requestTable) takeEnded(dead map[*serverStats]end, now time.Time) []zf.EndedFlow {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var last []zf.Packet
+	var ended []zf.EndedFlow
 	for i := range t.rows {
 		row := &t.rows[i]
 		if row.stats == nil || row.opening || now.UnixNano()-row.lastData >= int64(flowIdleTimeout) {
 			continue
 		}
-		if until, ok := dead[row.stats]; !ok || row.lastData > until.UnixNano() {
+		end, ok := dead[row.stats]
+		if !ok || row.lastData > end.until.UnixNano() {
 			continue
 		}
-		last = append(last, row.takeLastPacket())
+		ended = append(ended, row.takeFlow(end.reason))
 	}
-	return last
+	return ended
 }
 
-// takeLastPacket empties a row and returns the last packet of its flow.
-func (r *requestRow) takeLastPacket() zf.Packet {
-	last := zf.Packet{
-		Flow:         r.flow,
-		Sequence:     r.sequence,
-		Acknowledged: r.lastAcknowledged,
+// takeFlow empties a row and returns its flow.
+func (r *requestRow) takeFlow(reason zf.Reason) zf.EndedFlow {
+	ended := zf.EndedFlow{
+		Last: zf.Packet{
+			Flow:         r.flow,
+			Sequence:     r.sequence,
+			Acknowledged: r.lastAcknowledged,
+		},
+		Number: r.stats.number,
+		Reason: reason,
 	}
 	*r = requestRow{}
-	return last
+	return ended
 }
 
 // waiting returns the requests that wait for their answers and were retransmitted.
@@ -214,18 +225,18 @@
 }
 
 // takeAbandoned removes the flows with abandoned requests to unresponsive data centres,
-// and returns their last packets.
-func (t *requestTable) takeAbandoned(now time.Time) []zf.Packet {
+// and returns them.
+func (t *requestTable) takeAbandoned(now time.Time) []zf.EndedFlow {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var last []zf.Packet
+	var ended []zf.EndedFlow
 	for i := range t.rows {
 		row := &t.rows[i]
 		if row.abandoned(now) && row.stats.centre.unresponsive(false, now) {
-			last = append(last, row.takeLastPacket())
+			ended = append(ended, row.takeFlow(zf.ReasonCentreUnresponsive))
 		}
 	}
-	return last
+	return ended
 }
 
 // markAnswered counts the request as answered and returns true if the caller has
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// resetServer returns the verdict that resets a flow of a backend server.
+func resetServer(s *server, reason zf.Reason) zf.Verdict {
+	verdict := reset(reason)
+	verdict.Number = s.Number
+	return verdict
+}
+
 func forward(s *server) zf.Verdict {
 	return zf.Verdict{
 		Action: zf.ActionForward,
@@ -57,33 +64,33 @@
 		// yet; the caller retransmits the packet.
 		return drop(zf.ReasonUnknownCookie)
 	case server.State == zf.ServerGone && server.Proven:
-		return reset(zf.ReasonServerDead)
+		return resetServer(server, zf.ReasonServerDead)
 	}
-	abandoned := m.observe(server, &packet, now)
+	result := m.observe(server, &packet, now)
+	verdict := forward(server)
 	switch {
 	case m.suspended(now):
-		return forward(server)
 	case server.Late && server.stats.unresponsive(now):
-		return reset(zf.ReasonServerDead)
-	case abandoned && server.stats.centre.unresponsive(false, now):
-		return reset(zf.ReasonCentreUnresponsive)
-	default:
-		return forward(server)
+		verdict = resetServer(server, zf.ReasonServerUnresponsive)
+	case result.abandoned && server.stats.centre.unresponsive(false, now):
+		verdict = resetServer(server, zf.ReasonCentreUnresponsive)
 	}
+	verdict.Previous = result.previous
+	return verdict
 }
 
 // observe updates the statistics of a backend server by a packet of one of its open
-// flows. It reports whether the packet retransmits a request that counts as abandoned.
-func (m *Mapper) observe(s *server, packet *zf.Packet, now time.Time) (abandoned bool) {
+// flows. It returns what a packet with a payload shows.
+func (m *Mapper) observe(s *server, packet *zf.Packet, now time.Time) dataResult {
 	hash := zfflow.Hash(m.config.Seed, packet.Flow)
 	switch {
 	case packet.Kind == zf.PacketClosing:
 		m.requests.recordEnd(hash, s.stats, packet.Acknowledged)
-		return false
+		return dataResult{}
 	case packet.PayloadSize == 0:
 		s.stats.recordAnswer(now) // A caller acknowledges only data it has received.
 		m.requests.recordAcknowledgement(hash, s.stats, packet.Acknowledged)
-		return false
+		return dataResult{}
 	}
 	s.stats.recordRequest()
 	result := m.requests.recordData(hash, s.stats, packet, m.resumed(now), now)
@@ -93,7 +100,7 @@
 	case result.retransmitted:
 		m.recordMiss(s.stats, now)
 	}
-	return result.abandoned
+	return result
 }
 
 // routeOpening chooses the backend server of a new flow. A retransmission of an opening
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -8,6 +8,8 @@
 // serverStats holds this instance's statistics of one backend server. The traffic
 // goroutines update it, the control goroutine decays it.
 type serverStats struct {
+	// number is the backend server's Announcement.Number.
+	number uint64
 	// requests and openings count packets with a payload and opening packets since
 	// the last decay.
 	requests atomic.Int64
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -126,9 +126,9 @@
 // some unanswered.
 func (w *World) Outcomes() []zf.Outcome { return w.config.Observer.Outcomes() }
 
-// EndedFlows returns the last packets of flows whose backend servers have ended. The
+// EndedFlows returns the open flows whose backend servers have ended. The
 // callers have to be sent resets.
-func (w *World) EndedFlows() []zf.Packet { return w.config.Observer.EndedFlows() }
+func (w *World) EndedFlows() []zf.EndedFlow { return w.config.Observer.EndedFlows() }
 
 // UnresponsiveCentres returns the data centres whose backend servers have stopped
 // answering together.
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -80,6 +80,7 @@
 	LinesSuppressed     = register(5004, "log lines left out", log.InfoLevel)
 	ServerStateChanged  = register(5005, "backend server changed", log.InfoLevel)
 	CentresUnresponsive = register(5006, "data centres unresponsive", log.WarnLevel)
+	FlowMoved           = register(5007, "open flow changed its backend server", log.WarnLevel)
 )
 
 // The events of requests.
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -46,9 +46,9 @@
 	stopBegun chan struct{}
 	// offerHandler receives the address of a control instance that has started.
 	offerHandler func(control netip.AddrPort)
-	// flowsEndedHandler receives the last packet of each open flow whose backend server
-	// was found dead, to reset the flow at its caller.
-	flowsEndedHandler func(last []zf.Packet)
+	// flowsEndedHandler receives the open flows whose backend servers were found dead,
+	// to reset them at their callers.
+	flowsEndedHandler func(ended []zf.EndedFlow)
 	feed              *zfcluster.Feed
 	quorum            quorumStatus
 	// ready and index are copies of the world's fields for other goroutines.
@@ -82,6 +82,7 @@
 // loggedServer is the part of a backend server's state whose changes are logged.
 type loggedServer struct {
 	status  zf.ServerState
+	late    bool
 	suspect bool
 }
 
@@ -107,9 +108,9 @@
 // that has started. Call it before the instance answers calls of others.
 func (l *Loop) OnControlOffered(handler func(control netip.AddrPort)) { l.offerHandler = handler }
 
-// OnFlowsEnded sets the handler that receives the last packet of each open flow whose
-// backend server was found dead, to reset the flow at its caller. Call it before Run.
-func (l *Loop) OnFlowsEnded(handler func(last []zf.Packet)) { l.flowsEndedHandler = handler }
+// OnFlowsEnded sets the handler that receives the open flows whose backend servers were
+// found dead, to reset them at their callers. Call it before Run.
+func (l *Loop) OnFlowsEnded(handler func(ended []zf.EndedFlow)) { l.flowsEndedHandler = handler }
 
 // Run applies the events in the inbox and runs all systems each tick until ctx is done.
 func (l *Loop) Run(ctx context.Context) {
@@ -324,6 +325,7 @@
 	for _, row := range world.Registry().Rows() {
 		current := loggedServer{
 			status:  row.Status,
+			late:    row.Late,
 			suspect: !row.SuspectUntil.IsZero(),
 		}
 		if previous, ok := l.loggedServers[row.ID]; ok && previous == current {
@@ -331,7 +333,7 @@
 		}
 		l.loggedServers[row.ID] = current
 		l.config.Logger.Entry(zfevent.ServerStateChanged).Str("server", string(row.Server)).Time("born", row.Born).
-			Str("state", row.Status.String()).Bool("proven", row.Proven).Bool("suspect", current.suspect).Str("address", row.Address.String()).
+			Str("state", row.Status.String()).Bool("proven", row.Proven).Bool("late", row.Late).Bool("suspect", current.suspect).Str("address", row.Address.String()).
 			Str("centre", string(row.Centre)).Uint64("sequence", row.Sequence).Msg("")
 	}
 }
--- a/io/zftraffic/decisionlog.go
+++ b/io/zftraffic/decisionlog.go
@@ -18,11 +18,18 @@
 )
 
 // DecisionLog logs decisions on packets up to a rate limit, and the number of those
-// that the limit suppressed.
+// that the limit suppressed. Decisions that end or move open flows have a limit of their
+// own, so that a flood of new flows doesn't suppress them.
 type DecisionLog struct {
 	logger   *zfevent.Logger
 	stateAge StateAge
 	mutex    sync.Mutex
+	opening  rateLimit
+	open     rateLimit
+}
+
+// rateLimit permits a line each logInterval on average, and logBurst at once.
+type rateLimit struct {
 	// credit is the time accumulated for log lines, up to that of a burst, as of
 	// lastCredit. Each line costs logInterval.
 	credit     time.Duration
@@ -42,19 +49,25 @@
 	}
 }
 
-// Log logs a decision unless it forwards a packet of an open flow. It is for mappers
-// that never relay: a relay would be logged as a drop.
+// Log logs a decision unless it forwards a packet of an open flow to the same backend
+// server as before. It is for mappers that never relay: a relay would be logged as a drop.
 func (d *DecisionLog) Log(packet zf.Packet, verdict zf.Verdict, now time.Time) {
 	event := zfevent.PacketDropped
+	limit := &d.opening
 	switch {
 	case verdict.Action == zf.ActionReset:
 		event = zfevent.FlowReset
 	case verdict.Action == zf.ActionForward && packet.Kind == zf.PacketOpening:
 		event = zfevent.FlowOpened
+	case verdict.Action == zf.ActionForward && verdict.Previous != 0:
+		event = zfevent.FlowMoved
 	case verdict.Action == zf.ActionForward:
 		return
 	}
-	suppressed, ok := d.allow(now)
+	if event == zfevent.FlowMoved || event == zfevent.FlowReset && packet.Kind != zf.PacketOpening {
+		limit = &d.open
+	}
+	suppressed, ok := d.allow(limit, now)
 	if !ok {
 		return
 	}
@@ -66,26 +79,31 @@
 		Str("route", packet.Flow.Destination.String()).Int("copy", packet.Retransmissions).
 		Uint32("cookie", uint32(packet.Cookie)).Int("data", packet.PayloadSize).
 		Uint64("index", index).Dur("age", age).Str("reason", verdict.Reason.String())
+	if verdict.Number != 0 {
+		entry = entry.Str("server", strconv.FormatUint(verdict.Number, 16))
+	}
+	if verdict.Previous != 0 {
+		entry = entry.Str("previous", strconv.FormatUint(verdict.Previous, 16))
+	}
 	if verdict.Action == zf.ActionForward {
-		entry = entry.Str("server", strconv.FormatUint(verdict.Number, 16)).Str("to", verdict.To.String()).
-			Uint32("given", uint32(verdict.Cookie))
+		entry = entry.Str("to", verdict.To.String()).Uint32("given", uint32(verdict.Cookie))
 	}
 	entry.Msg("")
 }
 
-// allow reports whether the rate limit permits a line, and how many were suppressed
-// since the last one. A line costs logInterval of credit.
-func (d *DecisionLog) allow(now time.Time) (uint64, bool) {
+// allow reports whether a rate limit permits a line, and how many were suppressed since
+// the last one.
+func (d *DecisionLog) allow(limit *rateLimit, now time.Time) (uint64, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.credit = min(d.credit+now.Sub(d.lastCredit), logBurst*logInterval)
-	d.lastCredit = now
-	if d.credit < logInterval {
-		d.suppressed++
+	limit.credit = min(limit.credit+now.Sub(limit.lastCredit), logBurst*logInterval)
+	limit.lastCredit = now
+	if limit.credit < logInterval {
+		limit.suppressed++
 		return 0, false
 	}
-	d.credit -= logInterval
-	suppressed := d.suppressed
-	d.suppressed = 0
+	limit.credit -= logInterval
+	suppressed := limit.suppressed
+	limit.suppressed = 0
 	return suppressed, true
 }
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -163,25 +163,24 @@
 	}
 }
 
-// SendResets sends a reset to the caller of each flow whose backend server is dead, given
-// the last packet of each flow.
-func (s *Sockets) SendResets(lastPackets []zf.Packet) {
+// SendResets sends a reset to the caller of each ended flow.
+func (s *Sockets) SendResets(ended []zf.EndedFlow) {
 	framing := s.config.Framing()
 	counters := s.config.Counters
-	verdict := zf.Verdict{
-		Action: zf.ActionReset,
-		Server: zf.NoServer,
-		Reason: zf.ReasonServerDead,
-	}
 	now := s.config.Clock.Now()
-	for _, packet := range lastPackets {
-		if s.sendReset(framing, packet) != nil {
+	for _, flow := range ended {
+		if s.sendReset(framing, flow.Last) != nil {
 			counters.PacketDropped.Add(zf.ReasonSendFailed)
 			continue
 		}
-		counters.FlowReset.Add(verdict.Reason)
+		counters.FlowReset.Add(flow.Reason)
 		if s.config.OnDecision != nil {
-			s.config.OnDecision(packet, verdict, now)
+			s.config.OnDecision(flow.Last, zf.Verdict{
+				Action: zf.ActionReset,
+				Server: zf.NoServer,
+				Number: flow.Number,
+				Reason: flow.Reason,
+			}, now)
 		}
 	}
 }
--- a/io/zftraffic/socket_test.go
+++ b/io/zftraffic/socket_test.go
@@ -105,11 +105,14 @@
 	zfassert.NoError(t, err)
 	defer sockets.Close()
 	source := netip.MustParseAddrPort("192.0.2.1:1000")
-	sockets.SendResets([]zf.Packet{{
-		Flow: zf.Flow{
-			Source:      source,
-			Destination: frontend,
+	sockets.SendResets([]zf.EndedFlow{{
+		Last: zf.Packet{
+			Flow: zf.Flow{
+				Source:      source,
+				Destination: frontend,
+			},
 		},
+		Reason: zf.ReasonServerDead,
 	}})
 	buffer := make([]byte, 100)
 	n, err := caller.Read(buffer)
--- a/ports.go
+++ b/ports.go
@@ -55,10 +55,10 @@
 	Outcomes() []Outcome
 	// Loads returns the requests to each backend server since the last call.
 	Loads() []ServerLoad
-	// EndedFlows returns the last packet of each open flow whose backend server
-	// was found dead since the last call, or whose request stays unanswered in a
-	// data centre found unresponsive. The callers have not been notified yet.
-	EndedFlows() []Packet
+	// EndedFlows returns the open flows whose backend server was found dead since
+	// the last call, or whose request stays unanswered in a data centre found
+	// unresponsive. The callers have not been notified yet.
+	EndedFlows() []EndedFlow
 	// UnresponsiveCentres returns the data centres whose backend servers have
 	// stopped answering together.
 	UnresponsiveCentres(now time.Time) []CentreName
--- a/reason.go
+++ b/reason.go
@@ -44,7 +44,11 @@
 	ReasonFull
 	ReasonUnknownRoute
 	ReasonUnknownCookie
+	// ReasonServerDead means that the backend server has certainly ended.
 	ReasonServerDead
+	// ReasonServerUnresponsive means that the backend server leaves packets unanswered
+	// and that its heartbeats are overdue.
+	ReasonServerUnresponsive
 	// ReasonCentreUnresponsive means that a flow's request stays unanswered while the
 	// backend servers of its data centre have stopped answering together.
 	ReasonCentreUnresponsive
@@ -104,6 +108,7 @@
 	ReasonUnknownRoute:       "unknownroute",
 	ReasonUnknownCookie:      "unknowncookie",
 	ReasonServerDead:         "serverdead",
+	ReasonServerUnresponsive: "serverunresponsive",
 	ReasonCentreUnresponsive: "centreunresponsive",
 	ReasonTooLarge:           "toolarge",
 	ReasonBadEncoding:        "badencoding",
--- a/value.go
+++ b/value.go
@@ -114,14 +114,27 @@
 	To netip.AddrPort
 	// Server is the backend server of a forwarded packet.
 	Server ServerID
-	// Number is the backend server's Announcement.Number.
+	// Number is the Announcement.Number of the backend server, or of the one whose
+	// flow is reset; 0 if there is none.
 	Number uint64
+	// Previous is the number of another backend server that this instance forwarded an
+	// earlier packet of the open flow to, or 0.
+	Previous uint64
 	// Cookie is the cookie that a forwarded packet has to carry.
 	Cookie Cookie
 	// Reason is why a packet is dropped, relayed or reset.
 	Reason Reason
 }
 
+// EndedFlow is an open flow that an instance ends without a packet to answer.
+type EndedFlow struct {
+	// Last is the last packet of the flow.
+	Last Packet
+	// Number is the Announcement.Number of the flow's backend server.
+	Number uint64
+	Reason Reason
+}
+
 // ServerState is the state of a backend server, as it reports itself or as one
 // instance sees it.
 type ServerState uint8
