End what was inferred from missing reports with the next report

Callers saw resets of open flows to backend servers that served, at any time after two control instances had been cut off from each other for 4 s.

Cause: silence of a heartbeat receiver's reports was recorded like silence of its backend servers. Only a change that the receiver reports could clear it, and the receiver had none. Now the row keeps that its lateness was inferred, and the next report of its receiver takes that back, also where the backend server already counted as silent or gone.

--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -14,6 +14,7 @@
 // retention time.
 func (t *Table) Tick(now, reachableSince time.Time) {
 	for incarnation, row := range t.rows {
+		t.endInference(row, now)
 		if row.Status == zf.ServerGone {
 			t.removeExpired(incarnation, row, now)
 			continue
@@ -47,15 +48,31 @@
 	return row.LastHeartbeat
 }
 
+// endInference takes back what was inferred from missing reports of a row's heartbeat
+// receiver once it reports again: it reports overdue heartbeats itself.
+func (t *Table) endInference(row *Row, now time.Time) {
+	if row.inferredAt.IsZero() || row.Proven || !t.lastReport[row.receiver].After(row.inferredAt) {
+		return
+	}
+	row.setLate(false)
+	row.Status = row.announcedStatus(now)
+	t.markChanged(row)
+}
+
 func (t *Table) expire(row *Row, now, reachableSince time.Time) {
 	since := t.lastHeartbeat(row)
-	if row.receiver != t.config.Self {
+	inferred := row.receiver != t.config.Self
+	if inferred {
 		since = since.Add(t.config.ReportGrace)
 	}
 	if reachableSince.After(since) {
 		since = reachableSince
 	}
-	switch silent := now.Sub(since); {
+	silent := now.Sub(since)
+	if inferred && silent >= t.config.LateTimeout && row.inferredAt.IsZero() && !row.Late {
+		row.inferredAt = now
+	}
+	switch {
 	case silent >= t.config.GoneTimeout:
 		t.markGone(row, false, now)
 	case silent >= t.config.SilentTimeout && row.Status != zf.ServerSilent:
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -183,8 +183,9 @@
 	if !u.Heard && !t.config.Subscriber {
 		return
 	}
-	if u.Late != row.Late {
-		row.Late = u.Late
+	changed := u.Late != row.Late
+	row.setLate(u.Late)
+	if changed {
 		t.markChanged(row)
 	}
 	if u.Status == row.Status {
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -111,6 +111,10 @@
 	// Late is set if a heartbeat is overdue, not counting the time in which none
 	// could be received.
 	Late bool
+	// inferredAt is when Late was inferred here from missing reports of the heartbeat
+	// receiver, which may still receive the heartbeats; otherwise the zero value. The
+	// receiver's next report ends it.
+	inferredAt time.Time
 	// SuspectUntil is until when the backend server should receive no new flows,
 	// as it leaves requests unanswered.
 	SuspectUntil time.Time
@@ -302,13 +306,19 @@
 	status := row.announcedStatus(now)
 	if changed || row.Late || status != row.Status {
 		row.Status = status
-		row.Late = false
+		row.setLate(false)
 		t.markChanged(row)
 		return true
 	}
 	return false
 }
 
+// setLate sets Late as the heartbeats or a report of their receiver show it.
+func (r *Row) setLate(late bool) {
+	r.Late = late
+	r.inferredAt = time.Time{}
+}
+
 // releaseAddress removes a row's entry in the index of addresses.
 func (t *Table) releaseAddress(row *Row) {
 	if t.addresses[row.Address] == row {
