Report heartbeats again to an instance that wrongly claims them

Callers saw resets of open flows to backend servers that served, after a cut during which one of their heartbeats had gone to another control instance.

Cause: that instance went on considering itself the heartbeat receiver, missed all later heartbeats and reported the backend server as late. The real receiver ignored the report as an earlier one, and had no change of its own to report. Now it reports again that it receives the heartbeats.

--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -134,9 +134,13 @@
 	}
 	for _, beat := range changes.Beats {
 		row := t.rows[zf.NewServerIncarnation(beat.Server, beat.Born)]
-		if row == nil || beat.Sequence <= row.Sequence || row.Proven {
+		if row == nil || row.Proven {
 			continue // An unknown one has been removed here.
 		}
+		if beat.Sequence <= row.Sequence {
+			t.claimReceiver(row, beat.Sequence)
+			continue
+		}
 		a := row.Announcement
 		a.Sequence = beat.Sequence
 		a.Cold = max(row.ColdUntil.Sub(now), 0)
@@ -168,12 +172,24 @@
 		t.adoptStatus(row, u, from, now)
 	case u.Sequence == row.Sequence:
 		t.adoptStatus(row, u, from, now)
+	case u.Heard:
+		t.claimReceiver(row, u.Sequence)
 	}
 	if u.Suspect > 0 {
 		t.MarkSuspect(u.Server, u.Born, now.Add(u.Suspect))
 	}
 }
 
+// claimReceiver reports again that this instance receives a row's heartbeats if another one
+// reports the same with an earlier sequence: without that, the other one would take the
+// heartbeats that it misses for overdue.
+func (t *Table) claimReceiver(row *Row, sequence uint64) {
+	if sequence < row.Sequence && row.receiver == t.config.Self && !t.config.Subscriber {
+		t.revision++
+		t.moveToBack(row)
+	}
+}
+
 // adoptStatus takes Late and Status of a row from a sender that receives its
 // heartbeats. A subscriber takes them from the instance that it fetches from.
 func (t *Table) adoptStatus(row *Row, u *Update, from Source, now time.Time) {
