Reset no flow because the receiver of its heartbeats is silent

Callers saw resets of open flows to backend servers that served while control instances were cut off from each other: lateness that a control instance inferred from missing reports of another one counted as much as missed heartbeats, so that one request over 0.6 s was enough.

The class: the silence of an intermediary was taken for that of the machine behind it. Entry instances are told now whether lateness is inferred.

--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -17,7 +17,7 @@
 
 // termination holds what is known about the end of a backend server.
 type termination struct {
-	// heartbeatLate is true while heartbeats are overdue.
+	// heartbeatLate is server.missesHeartbeats of the current row.
 	heartbeatLate bool
 	// provenAt is when the end of the backend server became certain, or the zero
 	// value.
@@ -29,10 +29,10 @@
 }
 
 // update applies the current row of the backend server.
-func (t *termination) update(row zf.ServerView, now time.Time) {
-	t.heartbeatLate = row.Late
+func (t *termination) update(s *server, now time.Time) {
+	t.heartbeatLate = s.missesHeartbeats()
 	switch {
-	case row.State != zf.ServerGone || !row.Proven:
+	case s.State != zf.ServerGone || !s.Proven:
 		t.provenAt = time.Time{}
 	case t.provenAt.IsZero():
 		t.provenAt = now
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -125,6 +125,10 @@
 	stats  *serverStats
 }
 
+// missesHeartbeats reports whether the instance that receives the backend server's heartbeats
+// misses them. Where it is silent itself, that is no evidence about the backend server.
+func (s *server) missesHeartbeats() bool { return s.Late && !s.Inferred }
+
 // New returns a mapper without routes and backend servers.
 func New(config Config) *Mapper {
 	return &Mapper{
@@ -210,10 +214,10 @@
 	stats := make(map[zf.ServerIncarnation]*serverStats, len(view.Servers))
 	for _, row := range view.Servers {
 		s := m.newServer(row, stats)
-		if row.Late && !s.stats.termination.heartbeatLate {
+		if s.missesHeartbeats() && !s.stats.termination.heartbeatLate {
 			s.stats.expireMisses(now)
 		}
-		s.stats.termination.update(row, now)
+		s.stats.termination.update(s, now)
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
 			continue // Cookie collision: the other backend server keeps the cookie.
 		}
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -70,7 +70,7 @@
 	verdict := forward(server)
 	switch {
 	case m.suspended(now):
-	case server.Late && server.stats.unresponsive(now):
+	case server.missesHeartbeats() && server.stats.unresponsive(now), result.abandoned && server.Inferred:
 		verdict = resetServer(server, zf.ReasonServerUnresponsive)
 	case result.abandoned && server.stats.centre.unresponsive(false, now):
 		verdict = resetServer(server, zf.ReasonCentreUnresponsive)
--- a/core/zfregistry/cut_test.go
+++ b/core/zfregistry/cut_test.go
@@ -94,3 +94,59 @@
 	zfassert.True(t, "not late at the instance that was cut off", !cutOff.Find("a").Late)
 	zfassert.True(t, "not late at a third instance", !observer.Find("a").Late)
 }
+
+func TestInferredLateness(t *testing.T) {
+	receiver, control := newTable(), newTableOf(other)
+	config := zfregistry.DefaultConfig(0, interval)
+	config.Subscriber = true
+	entry := zfregistry.New(config)
+	receiver.Announce(heartbeat("a", born, 1), start)
+	control.Merge(receiver.Since(0, true, start), start)
+	cutUntil := start.Add(5 * interval)
+	for _, c := range []struct {
+		name     string
+		at       time.Time
+		report   bool
+		late     bool
+		inferred bool
+	}{
+		{
+			name: "while the receiver reports",
+			at:   start.Add(interval),
+		},
+		{
+			name:     "while its reports are missing",
+			at:       cutUntil,
+			late:     true,
+			inferred: true,
+		},
+		{
+			name:   "once it reports again",
+			at:     cutUntil.Add(interval / 2),
+			report: true,
+		},
+		{
+			name:   "once it reports that it misses the heartbeats",
+			at:     cutUntil.Add(interval),
+			report: true,
+			late:   true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for now := c.at.Add(-interval / 2); !now.After(c.at); now = now.Add(interval / 4) {
+				if c.late && c.report {
+					receiver.Tick(now, start)
+				}
+				if c.report {
+					control.Merge(receiver.Since(0, true, now), now)
+				}
+				control.Tick(now, start)
+			}
+			entry.Merge(control.Since(0, false, c.at), c.at)
+			for name, table := range map[string]*zfregistry.Table{"control": control, "entry": entry} {
+				zfassert.Equal(t, name+": late", table.View(nil)[0].Late, c.late)
+				zfassert.Equal(t, name+": inferred", table.View(nil)[0].Inferred, c.inferred)
+			}
+		})
+	}
+}
--- a/core/zfregistry/digest.go
+++ b/core/zfregistry/digest.go
@@ -25,7 +25,7 @@
 func (t *Table) Digests() []uint64 { return slices.Clone(t.digests[:]) }
 
 // digest returns a hash of the row's identity, service, data centre, status,
-// Proven, Late, addresses, capacity and number, without the sequence and times
+// Proven, Late, Inferred, addresses, capacity and number, without the sequence and times
 // other than Born. It is 0 for a row that is gone without proof: Merge doesn't add such a
 // row to a table that lacks it, so with another value the digests of the two
 // tables would never become equal.
@@ -39,7 +39,7 @@
 	buffer = append(buffer, r.Service...)
 	buffer = append(buffer, 0)
 	buffer = append(buffer, r.Centre...)
-	buffer = append(buffer, 0, byte(r.Status), boolByte(r.Proven), boolByte(r.Late))
+	buffer = append(buffer, 0, byte(r.Status), boolByte(r.Proven), boolByte(r.Late)|boolByte(r.Inferred())<<1)
 	buffer = binary.BigEndian.AppendUint64(buffer, uint64(r.Born.UnixMilli()))
 	for _, address := range []netip.AddrPort{r.Address, r.Web} {
 		ip := address.Addr().As16()
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -51,7 +51,7 @@
 // endInference takes back what was inferred from missing reports of a row's heartbeat
 // receiver once it reports again: it reports overdue heartbeats itself.
 func (t *Table) endInference(row *Row, now time.Time) {
-	if row.inferredAt.IsZero() || row.Proven || !t.lastReport[row.receiver].After(row.inferredAt) {
+	if t.config.Subscriber || row.inferredAt.IsZero() || row.Proven || !t.lastReport[row.receiver].After(row.inferredAt) {
 		return
 	}
 	row.setLate(false)
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -12,6 +12,9 @@
 	Status zf.ServerState
 	Proven bool
 	Late   bool
+	// Inferred is set if the sender inferred Late from missing reports of the instance that
+	// receives the heartbeats.
+	Inferred bool
 	// Age is the time since the last heartbeat.
 	Age time.Duration
 	// Gone is the time since Status became ServerGone.
@@ -112,6 +115,7 @@
 		Status:       r.Status,
 		Proven:       r.Proven,
 		Late:         r.Late,
+		Inferred:     r.Inferred(),
 		Age:          now.Sub(t.lastHeartbeat(r)),
 		Heard:        r.receiver == t.config.Self && !t.config.Subscriber,
 	}
@@ -199,8 +203,11 @@
 	if !u.Heard && !t.config.Subscriber {
 		return
 	}
-	changed := u.Late != row.Late
+	changed := u.Late != row.Late || u.Inferred != row.Inferred()
 	row.setLate(u.Late)
+	if u.Inferred {
+		row.inferredAt = now
+	}
 	if changed {
 		t.markChanged(row)
 	}
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -313,6 +313,9 @@
 	return false
 }
 
+// Inferred reports whether Late was inferred from missing reports of the heartbeat receiver.
+func (r *Row) Inferred() bool { return !r.inferredAt.IsZero() }
+
 // setLate sets Late as the heartbeats or a report of their receiver show it.
 func (r *Row) setLate(late bool) {
 	r.Late = late
--- a/core/zfregistry/view.go
+++ b/core/zfregistry/view.go
@@ -28,19 +28,20 @@
 	view := make([]zf.ServerView, 0, len(rows))
 	for _, row := range rows {
 		view = append(view, zf.ServerView{
-			ID:      row.ID,
-			Name:    row.Server,
-			Service: row.Service,
-			Centre:  row.Centre,
-			Address: row.Address,
-			State:   row.Status,
-			Weight:  row.weight(),
-			Allowed: !slices.Contains(out, row.Centre),
-			Born:    row.Born,
-			Number:  row.Number,
-			Proven:  row.Proven,
-			Late:    row.Late,
-			Suspect: !row.SuspectUntil.IsZero(),
+			ID:       row.ID,
+			Name:     row.Server,
+			Service:  row.Service,
+			Centre:   row.Centre,
+			Address:  row.Address,
+			State:    row.Status,
+			Weight:   row.weight(),
+			Allowed:  !slices.Contains(out, row.Centre),
+			Born:     row.Born,
+			Number:   row.Number,
+			Proven:   row.Proven,
+			Late:     row.Late,
+			Inferred: row.Inferred(),
+			Suspect:  !row.SuspectUntil.IsZero(),
 		})
 	}
 	return view
--- a/value.go
+++ b/value.go
@@ -293,6 +293,9 @@
 	// Late is set if a heartbeat is overdue. Silence before the control instances
 	// last regained contact with a majority doesn't count.
 	Late bool
+	// Inferred is set if Late was inferred from missing reports of the control instance
+	// that receives the heartbeats. It may still receive them.
+	Inferred bool
 	// Suspect is set if too many recent requests to the server got no answer.
 	Suspect bool
 	// OpeningRate is the maximum number of new flows a second that this
