Compare tables anew with a control instance that was cut off

After a cut that outlasts the retention of rows, a control instance didn't know backend servers that serve: packets of their open flows were dropped at the entry instances that fetch from it.

Cause: the session with the other control instance went on at its old cursor, at which that one has no changes. A fetch that fails now begins a new session by digests, as it does at entry instances.

TestPeerCutOff, until it is removed, failed before.

--- a/io/zfcontrollerloop/peercut_test.go
+++ b/io/zfcontrollerloop/peercut_test.go
@@ -33,8 +33,8 @@
 }
 
 // runPeer runs the loop of a control instance on the system clock, alone in its quorum, that
-// misses heartbeats soon.
-func runPeer(t testing.TB, node zfquorum.Node) *zfcontrollerloop.Loop {
+// misses heartbeats soon. Backend servers that are silent for gone are removed soon after.
+func runPeer(t testing.TB, node zfquorum.Node, gone time.Duration) *zfcontrollerloop.Loop {
 	t.Helper()
 	loop := zfcontrollerloop.New(zfcontrollerloop.Config{
 		World: zfcontroller.New(zfcontroller.Config{
@@ -53,9 +53,9 @@
 				Self:          zfregistry.Source(node.ID),
 				LateTimeout:   4 * beatInterval,
 				ReportGrace:   600 * time.Millisecond,
-				SilentTimeout: time.Minute,
-				GoneTimeout:   time.Hour,
-				Retention:     time.Hour,
+				SilentTimeout: gone,
+				GoneTimeout:   gone,
+				Retention:     beatInterval,
 				MaxRows:       10,
 			},
 			Decode: decodeVersion,
@@ -101,55 +101,71 @@
 	return false, false
 }
 
-// A backend server stayed late for good at control instances that were cut off from its
-// heartbeat receiver for a while.
+// TestPeerCutOff guards against backend servers that stay late, or unknown, at a control
+// instance that was cut off from their heartbeat receiver for a while.
 func TestPeerCutOff(t *testing.T) {
-	receiver := zfquorum.Node{
-		ID:      2,
-		Address: peerAddress(t),
-		Centre:  "one",
-	}
-	here, there := runPeer(t, receiver), runPeer(t, self)
-	poller := zfcontrollerloop.NewPeerPoller(there, "there", zfclock.System{})
-	go poller.Run()
-	sequence := uint64(0)
-	// beat sends heartbeats to the receiver for a while, and contacts of it to the other instance.
-	beat := func(until func() bool, limit time.Duration) bool {
-		for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(beatInterval) {
-			sequence++
-			_, _, err := here.Announce(zf.Announcement{
-				Server:   "a",
-				Service:  "orders",
-				Centre:   "one",
-				Address:  netip.MustParseAddrPort("10.0.0.1:80"),
-				State:    zf.ServerWarm,
-				Sequence: sequence,
-				Born:     start,
-				Number:   1,
-			})
-			zfassert.NoError(t, err)
-			there.Deliver([]zfquorum.Message{{
-				Kind: zfquorum.KindHello,
-				From: receiver,
-			}})
-			if until() {
-				return true
+	for _, c := range []struct {
+		name string
+		gone time.Duration
+		// lost reports whether the backend server is lost to the instance that is cut off.
+		lost func(known, late bool) bool
+	}{
+		{
+			name: "until it is late",
+			gone: time.Hour,
+			lost: func(_, late bool) bool { return late },
+		},
+		{
+			name: "until it is removed",
+			gone: 4 * beatInterval,
+			lost: func(known, _ bool) bool { return !known },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			receiver := zfquorum.Node{
+				ID:      2,
+				Address: peerAddress(t),
+				Centre:  "one",
 			}
-		}
-		return false
+			here, there := runPeer(t, receiver, c.gone), runPeer(t, self, c.gone)
+			go zfcontrollerloop.NewPeerPoller(there, "there", zfclock.System{}).Run()
+			usable := func(known, late bool) bool { return known && !late }
+			stop := answer(t, receiver.Address, here)
+			zfassert.True(t, "it is reported", sendHeartbeats(t, here, there, receiver, usable))
+			stop()
+			zfassert.True(t, "it is lost while no reports come", sendHeartbeats(t, here, there, receiver, c.lost))
+			t.Cleanup(answer(t, receiver.Address, here))
+			zfassert.True(t, "it is not once they come again", sendHeartbeats(t, here, there, receiver, usable))
+			known, late := isLate(t, here)
+			zfassert.True(t, "it never was at its receiver", usable(known, late))
+		})
 	}
-	known := func(wantLate bool) func() bool {
-		return func() bool {
-			known, late := isLate(t, there)
-			return known && late == wantLate
+}
+
+// sendHeartbeats sends heartbeats of a backend server to one control instance, and contacts of
+// that one to another, until the state of the backend server there is as wanted. It gives up
+// after 5 s.
+func sendHeartbeats(t testing.TB, here, there *zfcontrollerloop.Loop, receiver zfquorum.Node, wanted func(known, late bool) bool) bool {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(beatInterval) {
+		_, _, err := here.Announce(zf.Announcement{
+			Server:   "a",
+			Service:  "orders",
+			Centre:   "one",
+			Address:  netip.MustParseAddrPort("10.0.0.1:80"),
+			State:    zf.ServerWarm,
+			Sequence: uint64(time.Since(start)),
+			Born:     start,
+			Number:   1,
+		})
+		zfassert.NoError(t, err)
+		there.Deliver([]zfquorum.Message{{
+			Kind: zfquorum.KindHello,
+			From: receiver,
+		}})
+		if wanted(isLate(t, there)) {
+			return true
 		}
 	}
-	stop := answer(t, receiver.Address, here)
-	zfassert.True(t, "the backend server is reported", beat(known(false), 5*time.Second))
-	stop()
-	zfassert.True(t, "it is late while no reports come", beat(known(true), 5*time.Second))
-	t.Cleanup(answer(t, receiver.Address, here))
-	zfassert.True(t, "it is not late once they come again", beat(known(false), 5*time.Second))
-	_, late := isLate(t, here)
-	zfassert.True(t, "it never was at its receiver", !late)
+	return false
 }
--- a/io/zfcontrollerloop/peerpoller.go
+++ b/io/zfcontrollerloop/peerpoller.go
@@ -106,7 +106,9 @@
 		progress.Request(&args)
 		reply, err := client.Fetch(args, peerHold+peerMargin)
 		pause := peerRetryPause
-		if err == nil {
+		if err != nil {
+			progress = zfcluster.Progress{} // Rows may expire here while the peer has no changes.
+		} else {
 			progress.Record(reply)
 			p.loop.ApplyPeerReply(address, reply)
 			pause = 0
