Forward packets to a backend server that announced its end for a second more

Callers could see a reset of an open flow to a backend server that still served: one that was asked to stop announces its end, and serves until the call is acknowledged. A control instance that is killed or slow after it took the call leaves it running for longer.

Cause: Route took the announcement for a certain end at once, while idle flows were ended only after leaveGrace. Both use the same time now. A backend server whose name or address a later one has is still reset at once.

Found by reading; TestLeavingServer failed before. TestRefusals expected the reset at once and expects it after the second now; TestLeavingServer covers both sides of that time.

--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -1,6 +1,7 @@
 package zfcookie
 
 import (
+	"net/netip"
 	"time"
 
 	zf "zinniafront"
@@ -39,9 +40,45 @@
 	}
 }
 
+// endsAt returns from when on the end of the backend server is certain, or the zero value. One
+// that announced its end may still serve for leaveGrace; one that was replaced doesn't.
+func (t *termination) endsAt(replaced bool) time.Time {
+	if t.provenAt.IsZero() || replaced {
+		return t.provenAt
+	}
+	return t.provenAt.Add(leaveGrace)
+}
+
+// successors holds the latest start time of a backend server by name and by address.
+type successors struct {
+	byName    map[zf.ServerName]time.Time
+	byAddress map[netip.AddrPort]time.Time
+}
+
+func newSuccessors(rows []zf.ServerView) successors {
+	s := successors{
+		byName:    make(map[zf.ServerName]time.Time, len(rows)),
+		byAddress: make(map[netip.AddrPort]time.Time, len(rows)),
+	}
+	for _, row := range rows {
+		if row.Born.After(s.byName[row.Name]) {
+			s.byName[row.Name] = row.Born
+		}
+		if row.Born.After(s.byAddress[row.Address]) {
+			s.byAddress[row.Address] = row.Born
+		}
+	}
+	return s
+}
+
+// replaced reports whether a later backend server has the name or the address of a row's.
+func (s successors) replaced(row zf.ServerView) bool {
+	return s.byName[row.Name].After(row.Born) || s.byAddress[row.Address].After(row.Born)
+}
+
 // dead returns why the backend server is considered to have ended: its end has been
 // certain for leaveGrace, or its heartbeats are overdue and it is unresponsive. It returns
-// ReasonNone if it may live. Route sends resets as soon as the end is certain.
+// ReasonNone if it may live.
 func (s *serverStats) dead(now time.Time) zf.Reason {
 	switch {
 	case !s.termination.provenAt.IsZero() && now.Sub(s.termination.provenAt) >= leaveGrace:
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -123,8 +123,13 @@
 	zf.ServerView
 	cookie zf.Cookie
 	stats  *serverStats
+	// endsAt is from when on the backend server has certainly ended, or the zero value.
+	endsAt time.Time
 }
 
+// ended reports whether the backend server has certainly ended.
+func (s *server) ended(now time.Time) bool { return !s.endsAt.IsZero() && !now.Before(s.endsAt) }
+
 // missesHeartbeats reports whether the instance that receives the backend server's heartbeats
 // misses them. Where it is silent itself, that is no evidence about the backend server.
 func (s *server) missesHeartbeats() bool { return s.Late && !s.Inferred }
@@ -212,12 +217,14 @@
 	}
 	pools := make(map[zf.ServiceName]*pool)
 	stats := make(map[zf.ServerIncarnation]*serverStats, len(view.Servers))
+	successors := newSuccessors(view.Servers)
 	for _, row := range view.Servers {
 		s := m.newServer(row, stats)
 		if s.missesHeartbeats() && !s.stats.termination.heartbeatLate {
 			s.stats.expireMisses(now)
 		}
 		s.stats.termination.update(s, now)
+		s.endsAt = s.stats.termination.endsAt(successors.replaced(row))
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
 			continue // Cookie collision: the other backend server keeps the cookie.
 		}
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -63,7 +63,7 @@
 		// The backend server may have just started and its row not have arrived
 		// yet; the caller retransmits the packet.
 		return drop(zf.ReasonUnknownCookie)
-	case server.State == zf.ServerGone && server.Proven:
+	case server.ended(now):
 		return resetServer(server, zf.ReasonServerDead)
 	}
 	result := m.observe(server, &packet, now)
