Don't end flows of a backend server that started again before the news of it came

An entry instance that learned more than two seconds late that a backend server had started again sent resets to the callers of flows that the new incarnation had opened meanwhile.

Cause: the flows to end were told apart by the time of the news. The start time of the new incarnation bounds them now as well; of the two the earlier one counts, as clocks may differ.

Found by reading; TestLateNewsOfRestart failed before.

--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -23,8 +23,9 @@
 	// provenAt is when the end of the backend server became certain, or the zero
 	// value.
 	provenAt time.Time
-	// restarted is true if a later incarnation has the same number and address.
-	restarted bool
+	// restartedAt is the start time of a later incarnation with the same number and
+	// address, or the zero value.
+	restartedAt time.Time
 	// flowsEnded is true once endFlows has collected the backend server's open flows.
 	flowsEnded bool
 }
@@ -49,6 +50,19 @@
 	return t.provenAt.Add(leaveGrace)
 }
 
+// flowsUntil returns until when packets of flows that end with the backend server came. Later
+// ones may be of flows of its next incarnation, which this instance may have learned of late.
+func (t *termination) flowsUntil(now time.Time) time.Time {
+	if t.restartedAt.IsZero() {
+		return now
+	}
+	until := t.provenAt.Add(-announceDelay)
+	if t.restartedAt.Before(until) {
+		return t.restartedAt
+	}
+	return until
+}
+
 // successors holds the latest start time of a backend server by name and by address.
 type successors struct {
 	byName    map[zf.ServerName]time.Time
@@ -114,12 +128,8 @@
 		if dead == nil {
 			dead = make(map[*serverStats]end)
 		}
-		until := now
-		if stats.termination.restarted {
-			until = stats.termination.provenAt.Add(-announceDelay)
-		}
 		dead[stats] = end{
-			until:  until,
+			until:  stats.termination.flowsUntil(now),
 			reason: reason,
 		}
 	}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -261,7 +261,7 @@
 		if ended == nil || !ended.Born.Equal(row.Born) {
 			continue // Cookie collision.
 		}
-		ended.stats.termination.restarted = false
+		ended.stats.termination.restartedAt = time.Time{}
 		for _, later := range rows[i+1:] {
 			if later.Name != row.Name {
 				break
@@ -270,7 +270,7 @@
 				continue
 			}
 			if successor := s.cookies[CookieOf(later.Name, later.Born)]; successor != nil && successor.Name == later.Name {
-				ended.stats.termination.restarted = true
+				ended.stats.termination.restartedAt = later.Born
 				s.cookies[ended.cookie] = successor
 			}
 		}
--- a/core/zfcookie/restart_test.go
+++ b/core/zfcookie/restart_test.go
@@ -81,3 +81,18 @@
 		zfassert.AtMost(t, "share", float64(got[1])/100, 0.6)
 	})
 }
+
+// TestLateNewsOfRestart guards against resets of the flows that a backend server opened after it
+// started again, at an instance that learns of the start late.
+func TestLateNewsOfRestart(t *testing.T) {
+	before := view(row(1, "orders", "one"))
+	mapper := newMapper(before)
+	// The backend server starts again at start+1s. The flow opens with its earlier cookie
+	// two seconds later, sends a request and is idle.
+	now := tickUntil(mapper, before, start, start.Add(3*time.Second))
+	opened := mapper.Route(opening(1, 0), now)
+	mapper.Route(data(1, opened.Cookie, 1), now)
+	now = tickUntil(mapper, before, now, start.Add(6*time.Second))
+	tickUntil(mapper, restartedView(nil), now, now.Add(2*time.Second))
+	assertEnded(t, mapper)
+}
