Ignore a late leave call that doesn't say which start of the backend server it means

A copy of a leave call may wait in the socket of a suspended control instance. If the backend server has started again under its id meanwhile, the copy ended the new incarnation for good: its open flows were reset and its heartbeats refused.

Cause: on the platform the call has no start time, and stood for the latest incarnation.

TestEnd left a backend server that didn't drain; it drains now, and TestLateLeave covers both.

--- a/core/zfregistry/gone_test.go
+++ b/core/zfregistry/gone_test.go
@@ -142,3 +142,45 @@
 		})
 	}
 }
+
+// TestLateLeave guards against a late copy of a backend server's leave call that ends its next
+// incarnation.
+func TestLateLeave(t *testing.T) {
+	draining := heartbeat("a", born, 2)
+	draining.State = zf.ServerDraining
+	for _, c := range []struct {
+		name   string
+		last   zf.Announcement
+		born   time.Time
+		reason zf.Reason
+		status zf.ServerState
+	}{
+		{
+			name:   "one that drains has left",
+			last:   draining,
+			reason: zf.ReasonNone,
+			status: zf.ServerGone,
+		},
+		{
+			name:   "one that has started again hasn't",
+			last:   heartbeat("a", born.Add(time.Second), 1),
+			reason: zf.ReasonStale,
+			status: zf.ServerWarm,
+		},
+		{
+			name:   "one that is named by its start time has",
+			last:   heartbeat("a", born.Add(time.Second), 1),
+			born:   born.Add(time.Second),
+			reason: zf.ReasonNone,
+			status: zf.ServerGone,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable()
+			table.Announce(heartbeat("a", born, 1), start)
+			table.Announce(c.last, start.Add(interval))
+			zfassert.Equal(t, "reason", table.Leave("a", c.born, start.Add(interval)), c.reason)
+			assertStatus(t, table, "a", c.status)
+		})
+	}
+}
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -367,14 +367,18 @@
 }
 
 // Leave records that a backend server announced its end. A zero born stands for
-// its latest incarnation.
+// its latest incarnation, which must have announced that it drains: the call may have
+// been delayed, and a late copy must not end the next incarnation.
 func (t *Table) Leave(name zf.ServerName, born, now time.Time) zf.Reason {
 	row := t.names[name]
 	if !born.IsZero() {
 		row = t.rows[zf.NewServerIncarnation(name, born)]
 	}
-	if row == nil {
+	switch {
+	case row == nil:
 		return zf.ReasonServerGone
+	case born.IsZero() && row.State != zf.ServerDraining:
+		return zf.ReasonStale
 	}
 	t.markGone(row, true, now)
 	return zf.ReasonNone
--- a/core/zfregistry/table_test.go
+++ b/core/zfregistry/table_test.go
@@ -145,9 +145,11 @@
 		table.Announce(moved, start)
 		zfassert.Equal(t, "reason", table.Announce(heartbeat("b", born, 1), start), zf.ReasonNone)
 	})
-	t.Run("leaving without a start time ends the latest incarnation", func(t *testing.T) {
+	t.Run("leaving without a start time ends the latest incarnation, which drains", func(t *testing.T) {
 		table := newTable()
-		table.Announce(heartbeat("a", born, 1), start)
+		draining := heartbeat("a", born, 1)
+		draining.State = zf.ServerDraining
+		table.Announce(draining, start)
 		table.Leave("a", time.Time{}, start)
 		assertStatus(t, table, "a", zf.ServerGone)
 	})
--- a/io/zfcontrollerloop/call.go
+++ b/io/zfcontrollerloop/call.go
@@ -57,7 +57,11 @@
 	var reason zf.Reason
 	err := l.do(func(now time.Time) {
 		reason = l.config.World.Registry().Leave(name, born, now)
-		l.config.Logger.Entry(zfevent.ServerAnnounced).Str("server", string(name)).Time("born", born).
+		event := zfevent.ServerAnnounced
+		if reason == zf.ReasonStale {
+			event = zfevent.AnnouncementRefused
+		}
+		l.config.Logger.Entry(event).Str("server", string(name)).Time("born", born).
 			Str("state", zf.ServerGone.String()).Str("reason", reason.String()).Msg("")
 	})
 	return reason, err
