Count an answer to an opening packet after its copy went to another backend server

Callers could see resets of flows to a backend server that had just answered another caller: its answer came after a copy of the opening packet had gone to another one, and then didn't clear the miss that the copy had counted. With one more retransmission and an overdue heartbeat it was dead.

Cause: the copy overwrote the flow's row in the table of requests, so that the caller's first data looked like that of an unknown flow. Data with another cookie than that of the last copy is an answer to an earlier one.

--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -102,7 +102,11 @@
 	defer t.mutex.Unlock()
 	row := &t.rows[hash%requestRows]
 	if row.hash != hash || row.stats != stats {
-		if row.hash == hash && !row.opening && row.stats.number != stats.number {
+		switch {
+		case row.hash != hash:
+		case row.opening:
+			result.answered = true // A copy of the opening packet went to another backend server.
+		case row.stats.number != stats.number:
 			result.previous = row.stats.number
 		}
 		*row = requestRow{
