--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -104,9 +104,9 @@
 	}
 }
 
-// end describes why the flows of a backend server end, and until when their last packets
+// endedServer describes why the flows of a backend server end, and until when their last packets
 // came.
-type end struct {
+type endedServer struct {
 	until  time.Time
 	reason zf.Reason
 }
@@ -114,7 +114,7 @@
 // endFlows collects the flows of backend servers that were found to be dead, so that
 // their callers are sent resets before they lose their next request.
 func (m *Mapper) endFlows(now time.Time) {
-	var dead map[*serverStats]end
+	var dead map[*serverStats]endedServer
 	for _, stats := range m.stats {
 		reason := stats.dead(now)
 		if reason == zf.ReasonNone {
@@ -126,9 +126,9 @@
 		}
 		stats.termination.flowsEnded = true
 		if dead == nil {
-			dead = make(map[*serverStats]end)
+			dead = make(map[*serverStats]endedServer)
 		}
-		dead[stats] = end{
+		dead[stats] = endedServer{
 			until:  stats.termination.flowsUntil(now),
 			reason: reason,
 		}
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -167,9 +167,9 @@
 }
 
 // takeEnded removes the open flows of dead backend servers from the table and
-// returns them. Flows with a packet later than end.until are left out, and those idle for
+// returns them. Flows with a packet later than endedServer.until are left out, and those idle for
 // flowIdleTimeout.
-func (t *requestTable) takeEnded(dead map[*serverStats]end, now time.Time) []zf.EndedFlow {
+func (t *requestTable) takeEnded(dead map[*serverStats]endedServer, now time.Time) []zf.EndedFlow {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var ended []zf.EndedFlow
@@ -178,11 +178,11 @@
 		if row.stats == nil || row.opening || now.UnixNano()-row.lastData >= int64(flowIdleTimeout) {
 			continue
 		}
-		end, ok := dead[row.stats]
-		if !ok || row.lastData > end.until.UnixNano() {
+		server, ok := dead[row.stats]
+		if !ok || row.lastData > server.until.UnixNano() {
 			continue
 		}
-		ended = append(ended, row.takeFlow(end.reason))
+		ended = append(ended, row.takeFlow(server.reason))
 	}
 	return ended
 }
