--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -81,9 +81,10 @@
 
 // loggedServer is the part of a backend server's state whose changes are logged.
 type loggedServer struct {
-	status  zf.ServerState
-	late    bool
-	suspect bool
+	status   zf.ServerState
+	late     bool
+	inferred bool
+	suspect  bool
 }
 
 // New returns a loop that is not running yet.
@@ -324,16 +325,17 @@
 	l.loggedContentRevision = world.Registry().ContentRevision()
 	for _, row := range world.Registry().Rows() {
 		current := loggedServer{
-			status:  row.Status,
-			late:    row.Late,
-			suspect: !row.SuspectUntil.IsZero(),
+			status:   row.Status,
+			late:     row.Late,
+			inferred: row.Inferred(),
+			suspect:  !row.SuspectUntil.IsZero(),
 		}
 		if previous, ok := l.loggedServers[row.ID]; ok && previous == current {
 			continue
 		}
 		l.loggedServers[row.ID] = current
 		l.config.Logger.Entry(zfevent.ServerStateChanged).Str("server", string(row.Server)).Time("born", row.Born).
-			Str("state", row.Status.String()).Bool("proven", row.Proven).Bool("late", row.Late).Bool("suspect", current.suspect).Str("address", row.Address.String()).
+			Str("state", row.Status.String()).Bool("proven", row.Proven).Bool("late", row.Late).Bool("inferred", current.inferred).Bool("suspect", current.suspect).Str("address", row.Address.String()).
 			Str("centre", string(row.Centre)).Uint64("sequence", row.Sequence).Msg("")
 	}
 }
