Don't name a subscriber to itself as a peer

An entry instance could fetch from itself for a second or more after its control instance was lost: it kept an old control state meanwhile, and reset open flows on routes that had been added since.

Cause: another feed that it had subscribed to before still reported its address, and only the feed's own subscribers left the sender out. TestPeers, its new subtest, failed before.

--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -310,6 +310,8 @@
 		for _, remote := range f.remoteFeeds {
 			others = append(others, remote.subscribers...)
 		}
+		isSender := func(address netip.AddrPort) bool { return address == args.Address }
+		others = slices.DeleteFunc(others, isSender)
 	}
 	return append(ringAfter(sameCentre, args.Address, maxCentrePeers), ringAfter(others, args.Address, maxOtherPeers)...)
 }
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -352,6 +353,14 @@
 		here.RecordRemote(netip.MustParseAddrPort("10.9.0.9:7000"), reply, start)
 		zfassert.Equal(t, "subscribers without those of another data centre's feed", len(here.Subscribers()), 1)
 	})
+	t.Run("a subscriber of two feeds is no peer of its own", func(t *testing.T) {
+		self := subscriberArgs(9, "one")
+		feed := newFeed(newTestFeedData())
+		feed.RecordRemote(netip.MustParseAddrPort("10.9.0.8:7000"), zfcluster.FetchReply{
+			Peers: []netip.AddrPort{self.Address},
+		}, start)
+		zfassert.True(t, "not among its peers", !slices.Contains(assertAnswered(t, feed, self).Peers, self.Address))
+	})
 	t.Run("a subscriber that has not fetched for a while is no peer", func(t *testing.T) {
 		reply, _ := fetch(feed, subscriberArgs(1, "one"), start.Add(time.Minute))
 		zfassert.Equal(t, "peers", len(reply.Peers), 1)
