Don't take a backend server for alive again that died during a cut

Now a row that is gone comes back only by a report of its own, heartbeats of gone rows aren't reported, and a row that is missing in a bucket that its receiver sent is gone: the receiver has removed it. A session between control instances begins anew after 2 s without a reply, not after each failure, so that pages that were fetched aren't lost while instances are busy; no row changes sooner.

--- a/core/zfregistry/digest.go
+++ b/core/zfregistry/digest.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		for _, row := range rows {
-			if row.receiver == t.config.Self {
+			if row.receiver == t.config.Self && row.Status != zf.ServerGone {
 				beats = append(beats, t.heartbeat(row, now))
 			}
 		}
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -49,9 +49,10 @@
 }
 
 // endInference takes back what was inferred from missing reports of a row's heartbeat
-// receiver once it reports again: it reports overdue heartbeats itself.
+// receiver once it reports again: it reports overdue heartbeats itself. A row that is gone
+// comes back only by a report of its own, as the receiver may have removed it.
 func (t *Table) endInference(row *Row, now time.Time) {
-	if t.config.Subscriber || row.inferredAt.IsZero() || row.Proven || !t.lastReport[row.receiver].After(row.inferredAt) {
+	if t.config.Subscriber || row.inferredAt.IsZero() || row.Status == zf.ServerGone || !t.lastReport[row.receiver].After(row.inferredAt) {
 		return
 	}
 	row.setLate(false)
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -136,6 +136,7 @@
 	for i := range changes.Updates {
 		t.merge(&changes.Updates[i], changes.From, now)
 	}
+	t.markRemoved(changes, now)
 	for _, beat := range changes.Beats {
 		row := t.rows[zf.NewServerIncarnation(beat.Server, beat.Born)]
 		if row == nil || row.Proven {
@@ -154,6 +155,28 @@
 	}
 }
 
+// markRemoved marks the rows as gone that the sender, their heartbeat receiver, has removed: they
+// are missing in a bucket that it sent.
+func (t *Table) markRemoved(changes Changes, now time.Time) {
+	if len(changes.Buckets) == 0 || changes.From == 0 {
+		return
+	}
+	sent := make(map[zf.ServerIncarnation]bool, len(changes.Updates))
+	for i := range changes.Updates {
+		sent[zf.NewServerIncarnation(changes.Updates[i].Server, changes.Updates[i].Born)] = true
+	}
+	for _, bucket := range changes.Buckets {
+		if bucket < 0 || bucket >= bucketCount {
+			continue // From another version.
+		}
+		for _, row := range t.buckets[bucket] {
+			if row.receiver == changes.From && !sent[zf.NewServerIncarnation(row.Server, row.Born)] {
+				t.markGone(row, false, now)
+			}
+		}
+	}
+}
+
 func (t *Table) merge(u *Update, from Source, now time.Time) {
 	known := t.rows[zf.NewServerIncarnation(u.Server, u.Born)]
 	if known == nil && u.Status == zf.ServerGone && (!u.Proven || u.Gone >= t.config.Retention) {
--- a/io/zfcontrollerloop/peerpoller.go
+++ b/io/zfcontrollerloop/peerpoller.go
@@ -18,6 +18,9 @@
 	peerMargin = 500 * time.Millisecond
 	// peerRetryPause is the pause after a peer did not answer.
 	peerRetryPause = 200 * time.Millisecond
+	// peerSessionTimeout is the time without a reply after which a new session begins. Less
+	// than that changes no row here.
+	peerSessionTimeout = 2 * time.Second
 	// peerListInterval is the time between two updates of the list of peers.
 	peerListInterval = 200 * time.Millisecond
 )
@@ -98,7 +101,11 @@
 		Hold:     peerHold,
 	}
 	var progress zfcluster.Progress
+	lastReply := p.clock.Now()
 	for {
+		if !progress.Starting() && p.clock.Now().Sub(lastReply) >= peerSessionTimeout {
+			progress = zfcluster.Progress{} // Rows may have expired here while the peer has no changes.
+		}
 		args.Digests = nil
 		if progress.Starting() {
 			args.Digests = p.loop.Digests()
@@ -106,9 +113,8 @@
 		progress.Request(&args)
 		reply, err := client.Fetch(args, peerHold+peerMargin)
 		pause := peerRetryPause
-		if err != nil {
-			progress = zfcluster.Progress{} // Rows may expire here while the peer has no changes.
-		} else {
+		if err == nil {
+			lastReply = p.clock.Now()
 			progress.Record(reply)
 			p.loop.ApplyPeerReply(address, reply)
 			pause = 0
