Have entry instances take lateness from the control instance that they fetch from

An entry instance that had been told of an overdue heartbeat kept it for good after it had moved to another control instance that knew an earlier sequence: rows with an earlier sequence were ignored as a whole. A draining backend server stays so, since its own announcement with the later sequence is kept.

--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -197,7 +197,7 @@
 			row.LastHeartbeat = now.Add(-u.Age)
 		}
 		t.adoptStatus(row, u, from, now)
-	case u.Sequence == row.Sequence:
+	case u.Sequence == row.Sequence, t.config.Subscriber:
 		t.adoptStatus(row, u, from, now)
 	case u.Heard:
 		t.claimReceiver(row, u.Sequence)
