Tell certain lateness from inferred lateness by who reports

Lateness is inferred now while the receiver doesn't report, whatever it said before, and where it was read from disk. It becomes certain once all other control instances have reported for so long that a heartbeat at any of them would be known.

--- a/core/zfcontroller/suspension_test.go
+++ b/core/zfcontroller/suspension_test.go
@@ -41,3 +41,47 @@
 		}
 	}
 }
+
+// TestSilentPeer guards against lateness that counts as certain while another control instance, at
+// which the heartbeats may come in, doesn't report.
+func TestSilentPeer(t *testing.T) {
+	c := newCluster(t)
+	i := c.leader(t)
+	world := c.worlds[i]
+	const receiver = zfregistry.Source(99) // It has ended.
+	world.MergeChanges(address((i+1)%3), zfregistry.Changes{
+		From: receiver,
+		Updates: []zfregistry.Update{{
+			Announcement: zf.Announcement{
+				Server:   "s1",
+				Service:  "orders",
+				Address:  netip.MustParseAddrPort("10.1.0.1:80"),
+				State:    zf.ServerWarm,
+				Sequence: 1,
+				Born:     start,
+			},
+			Status: zf.ServerWarm,
+			Heard:  true,
+		}},
+	}, c.now)
+	report := func(d time.Duration, peers ...int) {
+		for range int(d / (500 * time.Millisecond)) {
+			for _, j := range peers {
+				world.MergeChanges(address(j), zfregistry.Changes{}, c.now)
+			}
+			c.run(500 * time.Millisecond)
+		}
+	}
+	t.Run("one of two reports", func(t *testing.T) {
+		report(12*time.Second, (i+1)%3)
+		view := world.Registry().View(nil)[0]
+		zfassert.True(t, "late", view.Late)
+		zfassert.True(t, "inferred", view.Inferred)
+	})
+	t.Run("both report", func(t *testing.T) {
+		report(12*time.Second, (i+1)%3, (i+2)%3)
+		view := world.Registry().View(nil)[0]
+		zfassert.True(t, "late", view.Late)
+		zfassert.True(t, "not inferred", !view.Inferred)
+	})
+}
--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -108,6 +108,9 @@
 	// quorumSince is the start of the current contact with a majority.
 	quorumSince time.Time
 	lastTick    time.Time
+	// reportingSince is since when all other control instances have reported their
+	// backend servers without a gap, or the zero value.
+	reportingSince time.Time
 	// services are those of the bundle with servicesVersion.
 	services        map[zf.ServiceName]bool
 	servicesVersion uint64
@@ -175,7 +178,8 @@
 // Tick runs every system once.
 func (w *World) Tick(now time.Time) {
 	w.replica.Tick(now)
-	w.updateQuorumContact(now)
+	w.updateContact(now)
+	w.registry.SetReportingSince(w.reportingSince)
 	w.registry.Tick(now, w.quorumSince)
 	w.stopPermits.Tick(now)
 	w.rotation.Tick(now)
@@ -183,10 +187,10 @@
 	w.advanceOperations(now)
 }
 
-// updateQuorumContact updates quorumSince. A suspension interrupts the contact although
+// updateContact updates quorumSince and reportingSince. A suspension interrupts the contact although
 // messages that were received meanwhile count as contact now: heartbeats of backend
 // servers can't have come in.
-func (w *World) updateQuorumContact(now time.Time) {
+func (w *World) updateContact(now time.Time) {
 	suspended := now.Sub(w.lastTick) >= maxTickGap
 	w.lastTick = now
 	switch reachable := now.Sub(w.replica.LastContact(now)) < quorumTimeout; {
@@ -195,6 +199,22 @@
 	case suspended || w.quorumSince.IsZero():
 		w.quorumSince = now
 	}
+	switch {
+	case suspended || !w.allReport(now):
+		w.reportingSince = time.Time{}
+	case w.reportingSince.IsZero():
+		w.reportingSince = now
+	}
+}
+
+// allReport reports whether all other known control instances have reported recently.
+func (w *World) allReport(now time.Time) bool {
+	for _, node := range w.replica.Nodes(now) {
+		if node.ID != w.replica.Self().ID && now.Sub(w.peerContact[node.Address]) >= quorumTimeout {
+			return false
+		}
+	}
+	return true
 }
 
 // TakeResults returns and clears the available results.
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -62,16 +62,16 @@
 
 func (t *Table) expire(row *Row, now, reachableSince time.Time) {
 	since := t.lastHeartbeat(row)
-	inferred := row.receiver != t.config.Self
-	if inferred {
+	receivedElsewhere := row.receiver != t.config.Self
+	if receivedElsewhere {
 		since = since.Add(t.config.ReportGrace)
 	}
 	if reachableSince.After(since) {
 		since = reachableSince
 	}
 	silent := now.Sub(since)
-	if inferred && silent >= t.config.LateTimeout && row.inferredAt.IsZero() && !row.Late {
-		row.inferredAt = now
+	if receivedElsewhere && silent >= t.config.LateTimeout {
+		t.updateInference(row, now)
 	}
 	switch {
 	case silent >= t.config.GoneTimeout:
@@ -85,6 +85,27 @@
 	}
 }
 
+// updateInference records whether the lateness of a row whose receiver doesn't report is
+// inferred. It is certain once all other control instances have reported for so long that a
+// heartbeat at any of them would be known here.
+func (t *Table) updateInference(row *Row, now time.Time) {
+	certain := !t.reportingSince.IsZero() && now.Sub(t.reportingSince) >= t.config.LateTimeout+t.config.ReportGrace
+	if certain != row.Inferred() {
+		return
+	}
+	row.inferredAt = time.Time{}
+	if !certain {
+		row.inferredAt = now
+	}
+	if row.Late {
+		t.markChanged(row)
+	}
+}
+
+// SetReportingSince sets since when all other control instances have reported without a gap, or
+// the zero value.
+func (t *Table) SetReportingSince(since time.Time) { t.reportingSince = since }
+
 func (t *Table) removeExpired(incarnation zf.ServerIncarnation, row *Row, now time.Time) {
 	if now.Sub(row.goneAt) < t.config.Retention {
 		return
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -228,7 +228,8 @@
 	}
 	changed := u.Late != row.Late || u.Inferred != row.Inferred()
 	row.setLate(u.Late)
-	if u.Inferred {
+	loaded := from == 0 && !t.config.Subscriber // From disk; heartbeats may have come since.
+	if u.Inferred || loaded && u.Late {
 		row.inferredAt = now
 	}
 	if changed {
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -111,9 +111,9 @@
 	// Late is set if a heartbeat is overdue, not counting the time in which none
 	// could be received.
 	Late bool
-	// inferredAt is when Late was inferred here from missing reports of the heartbeat
-	// receiver, which may still receive the heartbeats; otherwise the zero value. The
-	// receiver's next report ends it.
+	// inferredAt is when Late was inferred from missing reports of the heartbeat receiver,
+	// which may still receive the heartbeats, or when a subscriber was told so; otherwise
+	// the zero value.
 	inferredAt time.Time
 	// SuspectUntil is until when the backend server should receive no new flows,
 	// as it leaves requests unanswered.
@@ -145,7 +145,10 @@
 	buckets [bucketCount][]*Row
 	digests [bucketCount]uint64
 	// lastReport is when the last report of each other instance came in.
-	lastReport      map[Source]time.Time
+	lastReport map[Source]time.Time
+	// reportingSince is since when all other control instances have reported without a gap,
+	// or the zero value.
+	reportingSince  time.Time
 	revision        uint64
 	contentRevision uint64
 	nextID          zf.ServerID
