--- a/core/zfregistry/session_test.go
+++ b/core/zfregistry/session_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"zinniafront/core/zfregistry"
 	"zinniafront/lab/zfassert"
