Don't reset open flows on routes that this instance doesn't know yet

Callers saw resets of open flows on routes that had just been added, while configurations changed and entry instances and control instances were restarted as planned: an entry instance that starts may get the control state that a restarted control instance has read from its disk, which is a few changes old for up to 0.4 s.

Cause: no route for a packet of an open flow was taken for a removed route. It is only where this instance has seen the route before; else the packet is dropped, and the caller retransmits it.

--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -51,6 +51,32 @@
 type snapshot struct {
 	routes  routes
 	cookies map[zf.Cookie]*server
+	// addresses are those of routes. removed holds when this instance learned that a route
+	// had been removed.
+	addresses []netip.AddrPort
+	removed   map[netip.AddrPort]time.Time
+}
+
+// removedRetention is how long the address of a removed route is kept: flows are older then
+// than callers keep them open.
+const removedRetention = 60 * time.Second
+
+// recordRemoved records the routes that have been removed since an earlier snapshot.
+func (s *snapshot) recordRemoved(earlier *snapshot, now time.Time) {
+	s.removed = make(map[netip.AddrPort]time.Time)
+	if earlier == nil {
+		return
+	}
+	for address, at := range earlier.removed {
+		if now.Sub(at) < removedRetention && s.routes.find(address) == nil {
+			s.removed[address] = at
+		}
+	}
+	for _, address := range earlier.addresses {
+		if s.routes.find(address) == nil {
+			s.removed[address] = now
+		}
+	}
 }
 
 // routes holds the routes by address. IPv4 addresses have a separate map, since its
@@ -243,7 +269,9 @@
 	}
 	for _, r := range view.Routes {
 		next.routes.add(r.Address, newRoute(r, pools))
+		next.addresses = append(next.addresses, r.Address)
 	}
+	next.recordRemoved(m.current.Load(), now)
 	m.stats = stats
 	m.current.Store(next)
 }
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -57,8 +57,11 @@
 		return forward(server)
 	case packet.Kind == zf.PacketReset:
 		return drop(zf.ReasonUnknownCookie)
-	case r == nil:
+	case r == nil && !s.removed[packet.Flow.Destination].IsZero():
 		return reset(zf.ReasonUnknownRoute)
+	case r == nil:
+		// Another instance may have opened the flow by a later control state.
+		return drop(zf.ReasonUnknownRoute)
 	case server == nil:
 		// The backend server may have just started and its row not have arrived
 		// yet; the caller retransmits the packet.
