Take inferred lateness for no evidence at all

An entry instance without other traffic to a data centre reset a flow for one request over 0.6 s while the receiver of the backend server's heartbeats was cut off: no other backend server there had answered, as none had been asked.

--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -73,7 +73,7 @@
 	verdict := forward(server)
 	switch {
 	case m.suspended(now):
-	case server.missesHeartbeats() && server.stats.unresponsive(now), result.abandoned && server.Inferred:
+	case server.missesHeartbeats() && server.stats.unresponsive(now):
 		verdict = resetServer(server, zf.ReasonServerUnresponsive)
 	case result.abandoned && server.stats.centre.unresponsive(false, now):
 		verdict = resetServer(server, zf.ReasonCentreUnresponsive)
--- a/reason.go
+++ b/reason.go
@@ -47,7 +47,7 @@
 	// ReasonServerDead means that the backend server has certainly ended.
 	ReasonServerDead
 	// ReasonServerUnresponsive means that the backend server leaves packets unanswered
-	// and that its heartbeats are overdue.
+	// and that the instance that receives its heartbeats misses them.
 	ReasonServerUnresponsive
 	// ReasonCentreUnresponsive means that a flow's request stays unanswered while the
 	// backend servers of its data centre have stopped answering together.
