Give a backend server that announced its end three seconds before its flows are reset

One second of grace was not enough; one grace holds for packets and for idle flows now, and none where another backend server has the name or address.

TestLeavingServer, TestEnded and TestRefusals expect three seconds; the first failed before.

--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -9,8 +9,8 @@
 
 const (
 	// leaveGrace is how long a backend server may keep running after it announced its
-	// end.
-	leaveGrace = time.Second
+	// end: it calls another control instance after a second without an answer.
+	leaveGrace = 3 * time.Second
 	// announceDelay is how long a backend server that has started may take to announce
 	// itself everywhere. Flows that opened since then may be its own.
 	announceDelay = 2 * time.Second
@@ -23,6 +23,8 @@
 	// provenAt is when the end of the backend server became certain, or the zero
 	// value.
 	provenAt time.Time
+	// endsAt is from when on the end is certain, or the zero value.
+	endsAt time.Time
 	// restartedAt is the start time of a later incarnation with the same number and
 	// address, or the zero value.
 	restartedAt time.Time
@@ -30,24 +32,22 @@
 	flowsEnded bool
 }
 
-// update applies the current row of the backend server.
-func (t *termination) update(s *server, now time.Time) {
+// update applies the current row of the backend server. One that announced its end may still serve
+// for leaveGrace; one that was replaced doesn't.
+func (t *termination) update(s *server, replaced bool, now time.Time) {
 	t.heartbeatLate = s.missesHeartbeats()
 	switch {
 	case s.State != zf.ServerGone || !s.Proven:
 		t.provenAt = time.Time{}
+		t.endsAt = time.Time{}
+		return
 	case t.provenAt.IsZero():
 		t.provenAt = now
 	}
-}
-
-// endsAt returns from when on the end of the backend server is certain, or the zero value. One
-// that announced its end may still serve for leaveGrace; one that was replaced doesn't.
-func (t *termination) endsAt(replaced bool) time.Time {
-	if t.provenAt.IsZero() || replaced {
-		return t.provenAt
+	t.endsAt = t.provenAt
+	if !replaced {
+		t.endsAt = t.provenAt.Add(leaveGrace)
 	}
-	return t.provenAt.Add(leaveGrace)
 }
 
 // flowsUntil returns until when packets of flows that end with the backend server came. Later
@@ -90,12 +90,11 @@
 	return s.byName[row.Name].After(row.Born) || s.byAddress[row.Address].After(row.Born)
 }
 
-// dead returns why the backend server is considered to have ended: its end has been
-// certain for leaveGrace, or its heartbeats are overdue and it is unresponsive. It returns
-// ReasonNone if it may live.
+// dead returns why the backend server is considered to have ended: its end is certain, or its
+// heartbeats are missed and it is unresponsive. It returns ReasonNone if it may live.
 func (s *serverStats) dead(now time.Time) zf.Reason {
 	switch {
-	case !s.termination.provenAt.IsZero() && now.Sub(s.termination.provenAt) >= leaveGrace:
+	case !s.termination.endsAt.IsZero() && !now.Before(s.termination.endsAt):
 		return zf.ReasonServerDead
 	case s.termination.heartbeatLate && s.unresponsive(now):
 		return zf.ReasonServerUnresponsive
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -149,7 +149,7 @@
 	zf.ServerView
 	cookie zf.Cookie
 	stats  *serverStats
-	// endsAt is from when on the backend server has certainly ended, or the zero value.
+	// endsAt is termination.endsAt, for the traffic goroutines.
 	endsAt time.Time
 }
 
@@ -249,8 +249,8 @@
 		if s.missesHeartbeats() && !s.stats.termination.heartbeatLate {
 			s.stats.expireMisses(now)
 		}
-		s.stats.termination.update(s, now)
-		s.endsAt = s.stats.termination.endsAt(successors.replaced(row))
+		s.stats.termination.update(s, successors.replaced(row), now)
+		s.endsAt = s.stats.termination.endsAt
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
 			continue // Cookie collision: the other backend server keeps the cookie.
 		}
