--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -85,8 +85,8 @@
 	return s
 }
 
-// replaced reports whether a later backend server has the name or the address of a row's.
-func (s successors) replaced(row zf.ServerView) bool {
+// hasSuccessor reports whether a later backend server has the name or the address of a row's.
+func (s successors) hasSuccessor(row zf.ServerView) bool {
 	return s.byName[row.Name].After(row.Born) || s.byAddress[row.Address].After(row.Born)
 }
 
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -249,7 +249,7 @@
 		if s.missesHeartbeats() && !s.stats.termination.heartbeatLate {
 			s.stats.expireMisses(now)
 		}
-		s.stats.termination.update(s, successors.replaced(row), now)
+		s.stats.termination.update(s, successors.hasSuccessor(row), now)
 		s.endsAt = s.stats.termination.endsAt
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
 			continue // Cookie collision: the other backend server keeps the cookie.
--- a/core/zfregistry/cut_test.go
+++ b/core/zfregistry/cut_test.go
@@ -102,6 +102,7 @@
 	zfassert.True(t, "not late at a third instance", !observer.Find("a").Late)
 }
 
+// TestInferredLateness follows one backend server; its cases build on each other.
 func TestInferredLateness(t *testing.T) {
 	receiver, control := newTable(), newTableOf(other)
 	config := zfregistry.DefaultConfig(0, interval)
