--- a/core/zfcookie/ended.go
+++ b/core/zfcookie/ended.go
@@ -20,10 +20,10 @@
 type termination struct {
 	// heartbeatLate is server.missesHeartbeats of the current row.
 	heartbeatLate bool
-	// provenAt is when the end of the backend server became certain, or the zero
-	// value.
+	// provenAt is when this instance learned that the backend server announced its end or
+	// was replaced, or the zero value.
 	provenAt time.Time
-	// endsAt is from when on the end is certain, or the zero value.
+	// endsAt is from when on the backend server has certainly ended, or the zero value.
 	endsAt time.Time
 	// restartedAt is the start time of a later incarnation with the same number and
 	// address, or the zero value.
