--- a/core/zfbundle/bundle.go
+++ b/core/zfbundle/bundle.go
@@ -29,15 +29,22 @@
 	Name    string
 	Address netip.AddrPort
 	Targets []zf.RouteTarget
-	// Deadline is how long a caller waits for the response to a request.
+	// Deadline is how long a caller waits for the response to a request, Target the time
+	// within which it wants it, or 0 if that is not stated.
 	Deadline time.Duration
+	Target   time.Duration
+	// Priority is the precedence of the route when capacity is short; 0 is the highest.
+	Priority int
 }
 
 // View returns the route as the mapper reads it.
 func (r Route) View() zf.RouteView {
 	return zf.RouteView{
-		Address: r.Address,
-		Targets: r.Targets,
+		Address:  r.Address,
+		Targets:  r.Targets,
+		Target:   r.Target,
+		Deadline: r.Deadline,
+		Priority: r.Priority,
 	}
 }
 
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -53,8 +53,14 @@
 	Changes    zfregistry.Changes
 	// Loads are the total loads of the data centre, or nil.
 	Loads []zf.ServerLoad
+	// Departures and Limits are the decisions for the new flows of the data centre's
+	// callers. They replace earlier ones if Loads is set.
+	Departures []zf.Departure
+	Limits     []zf.AdmissionLimit
 	// StopPermitted grants the stop permit that this instance requested.
 	StopPermitted bool
+	// StepOutPermitted grants the permit to leave the rotation that it requested.
+	StepOutPermitted bool
 	// Wait is set if this instance must not enter the rotation yet.
 	Wait bool
 	// State is nil if it has not changed.
--- a/core/zfregistry/view.go
+++ b/core/zfregistry/view.go
@@ -42,6 +42,7 @@
 			Late:     row.Late,
 			Inferred: row.Inferred(),
 			Suspect:  !row.SuspectUntil.IsZero(),
+			Slots:    row.Capacity.Slots,
 		})
 	}
 	return view
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -106,6 +106,10 @@
 	// Able is set if the sender could take traffic: it takes it, or waits until it may
 	// enter the rotation.
 	Able bool
+	// Strain is how far the sender's resources suffice. StepOut is set if the sender
+	// requests a permit to leave the rotation until they do.
+	Strain  zf.Strain
+	StepOut bool
 	// Hold is how long the reply may be held back while there are no changes.
 	Hold time.Duration
 }
@@ -134,6 +138,15 @@
 	// Loads are the total loads of the data centre; in a reply to a control instance of
 	// the same one, those that the replying instance's own subscribers report.
 	Loads []zf.ServerLoad
+	// Rooms are the room of the services in the replying instance's data centre and the
+	// demand that its callers send to others, in a reply to a control instance.
+	Rooms []zf.ServiceRoom
+	// Departures and Limits are the decisions for the new flows of the data centre's
+	// callers. They replace earlier ones if Loads is set.
+	Departures []zf.Departure
+	Limits     []zf.AdmissionLimit
+	// StepOut grants the permit to leave the rotation that the sender requested.
+	StepOut bool
 	// Turn grants a stop permit to an instance that was asked to stop.
 	Turn bool
 	// Entries is the number of known entry instances; in a reply to a control instance,
--- a/io/zfdocument/settings.go
+++ b/io/zfdocument/settings.go
@@ -53,6 +53,8 @@
 	// the network between them.
 	PrivateNetwork bool
 	Platform       Platform
+	Load           Load
+	Resources      Resources
 }
 
 // Listen holds the addresses that a process listens on.
@@ -96,20 +98,22 @@
 func (s *Settings) HasRole(role Role) bool { return slices.Contains(s.Roles, role) }
 
 type settingsDocument struct {
-	Format   int              `json:"format"`
-	Name     string           `json:"name"`
-	Centre   string           `json:"centre"`
-	Roles    []Role           `json:"roles"`
-	Data     string           `json:"data"`
-	Listen   listenDocument   `json:"listen"`
-	Peers    []netip.AddrPort `json:"peers"`
-	Controls []netip.AddrPort `json:"controls"`
-	Keys     keysDocument     `json:"keys"`
-	Level    string           `json:"level"`
-	Threads  *int             `json:"threads"`
-	Plain    bool             `json:"plain"`
-	Private  bool             `json:"private"`
-	Platform platformDocument `json:"platform"`
+	Format    int               `json:"format"`
+	Name      string            `json:"name"`
+	Centre    string            `json:"centre"`
+	Roles     []Role            `json:"roles"`
+	Data      string            `json:"data"`
+	Listen    listenDocument    `json:"listen"`
+	Peers     []netip.AddrPort  `json:"peers"`
+	Controls  []netip.AddrPort  `json:"controls"`
+	Keys      keysDocument      `json:"keys"`
+	Level     string            `json:"level"`
+	Threads   *int              `json:"threads"`
+	Plain     bool              `json:"plain"`
+	Private   bool              `json:"private"`
+	Platform  platformDocument  `json:"platform"`
+	Load      loadDocument      `json:"load"`
+	Resources resourcesDocument `json:"resources"`
 }
 
 type platformDocument struct {
@@ -197,6 +201,8 @@
 			DrainTimeout:      durationOrDefault(d.Platform.Drain, 0),
 			Modes:             d.Platform.Modes,
 		},
+		Load:      d.Load.load(),
+		Resources: Resources(d.Resources),
 	}
 	for _, path := range d.Keys.Trusted {
 		settings.Keys.Trusted = append(settings.Keys.Trusted, resolve(path))
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -236,8 +236,12 @@
 		HasPeers:      len(reply.Peers) > 0,
 		EntryCount:    reply.Entries,
 		Loads:         reply.Loads,
+		Departures:    reply.Departures,
+		Limits:        reply.Limits,
 		StopPermitted: reply.Turn,
 		Wait:          reply.Wait,
+
+		StepOutPermitted: reply.StepOut,
 	}
 	if reply.Index > l.index.Load() {
 		state, err := l.decodeState(reply)
--- a/ports.go
+++ b/ports.go
@@ -67,6 +67,22 @@
 	SetTotalLoads(loads []ServerLoad, now time.Time)
 }
 
+// Admission decides which new flows of a service are turned away while it lacks room.
+type Admission interface {
+	// Admit reports whether a new flow may be forwarded. It is safe for concurrent use by
+	// the traffic goroutines and allocates nothing.
+	Admit(opening *Opening, now time.Time) bool
+	// Tick applies the limits in force on the control goroutine. A service without a
+	// limit admits all flows.
+	Tick(now time.Time, limits []AdmissionLimit)
+}
+
+// Meter measures the use of an instance's resources.
+type Meter interface {
+	// Measure returns the use of each resource whose limit is known since the last call.
+	Measure(now time.Time) []ResourceUse
+}
+
 // Framing decodes and encodes the datagrams of a fabric. It is not safe for
 // concurrent use.
 type Framing interface {
--- a/reason.go
+++ b/reason.go
@@ -53,6 +53,10 @@
 	// backend servers of its data centre have stopped answering together.
 	ReasonCentreUnresponsive
 
+	// ReasonNoRoom means that a new flow was turned away, as the backend servers of its
+	// service can't serve it in time.
+	ReasonNoRoom
+
 	// Messages and announcements.
 	ReasonTooLarge
 	ReasonBadEncoding
@@ -110,6 +114,7 @@
 	ReasonServerDead:         "serverdead",
 	ReasonServerUnresponsive: "serverunresponsive",
 	ReasonCentreUnresponsive: "centreunresponsive",
+	ReasonNoRoom:             "noroom",
 	ReasonTooLarge:           "toolarge",
 	ReasonBadEncoding:        "badencoding",
 	ReasonBadSignature:       "badsignature",
--- a/value.go
+++ b/value.go
@@ -238,10 +238,144 @@
 	Unanswered int
 }
 
-// ServerLoad is the number of requests to the backend server of a cookie.
+// ServerLoad is the load of the backend server of a cookie, as entry instances observed
+// it in a span of time.
 type ServerLoad struct {
 	Cookie   Cookie
 	Requests int
+	// Answers is the number of requests whose answers callers acknowledged, Busy the
+	// time that the backend server took for them, with the wait for a slot and without
+	// the round trip to the caller.
+	Answers int
+	Busy    time.Duration
+	// Bytes is the size of these answers.
+	Bytes int
+	// Opened is the number of new flows whose callers went on after the opening packet,
+	// Unopened of those that did not.
+	Opened   int
+	Unopened int
+}
+
+// ServiceRoom is the load of a service's backend servers in one data centre, and what
+// they sustain.
+type ServiceRoom struct {
+	Service ServiceName
+	Centre  CentreName
+	// Servers is the number of backend servers that take new flows.
+	Servers int
+	// Room is the number of requests a second that they sustain, Demand the number that
+	// they get from callers of all data centres.
+	Room   float64
+	Demand float64
+	// Wait is the expected wait of a request for a slot.
+	Wait time.Duration
+	// Bytes is the mean size of an answer.
+	Bytes int
+	// Age is the time since the figures were measured.
+	Age time.Duration
+}
+
+// CentreShare is a share of new flows, from 0 to 1, that go to a data centre.
+type CentreShare struct {
+	Centre CentreName
+	Share  float64
+}
+
+// Departure is the decision that some of a service's new flows leave the data centre of
+// their callers.
+type Departure struct {
+	Service ServiceName
+	// To are the data centres that they go to. The sum of the shares is at most 1; the
+	// remaining flows stay.
+	To []CentreShare
+	// Home is the expected wait in the own data centre, Away the one in the others.
+	Home time.Duration
+	Away time.Duration
+}
+
+// AdmissionLimit is the decision that some of a service's new flows are turned away, as
+// no data centre has room for them.
+type AdmissionLimit struct {
+	Service ServiceName
+	// Share is the share of new flows that are admitted, from 0 to 1.
+	Share float64
+	// Wait is the expected wait of a request for a slot.
+	Wait time.Duration
+}
+
+// Opening is the opening packet of a new flow for which room is needed.
+type Opening struct {
+	Flow    Flow
+	Service ServiceName
+	// Priority is that of the route; 0 is the highest.
+	Priority int
+	// Hash is the hash of the flow, identical on all instances.
+	Hash uint64
+	// Retransmissions is the number of times that the packet was sent before.
+	Retransmissions int
+}
+
+// Resource is a resource of an instance that may run short.
+type Resource uint8
+
+// The resources.
+const (
+	ResourceProcessor Resource = iota
+	ResourceQueue
+	ResourceLink
+	ResourceMemory
+	ResourceDescriptors
+)
+
+// String returns the resource's name in logs and counters.
+func (r Resource) String() string {
+	switch r {
+	case ResourceProcessor:
+		return "processor"
+	case ResourceQueue:
+		return "queue"
+	case ResourceLink:
+		return "link"
+	case ResourceMemory:
+		return "memory"
+	case ResourceDescriptors:
+		return "descriptors"
+	default:
+		return "unknown"
+	}
+}
+
+// ResourceUse is the use of one resource as a share of its limit.
+type ResourceUse struct {
+	Resource Resource
+	Use      float64
+}
+
+// Strain is how far the resources of an instance suffice for its work.
+type Strain uint8
+
+// The degrees of strain.
+const (
+	// StrainNone means that all resources suffice.
+	StrainNone Strain = iota
+	// StrainShort means that work that can wait is put off.
+	StrainShort
+	// StrainOverloaded means that the instance can't do its work.
+	StrainOverloaded
+)
+
+// String returns the strain's name in logs.
+func (s Strain) String() string {
+	switch s {
+	case StrainNone:
+		return "none"
+	case StrainShort:
+		return "short"
+	case StrainOverloaded:
+		return "overloaded"
+	default:
+		return "unknown"
+	}
 }
 
 // Candidate is one backend server that a request may be assigned to.
@@ -301,6 +435,9 @@
 	// OpeningRate is the maximum number of new flows a second that this
 	// instance may send to the server while it is cold; 0 is no limit.
 	OpeningRate float64
+	// Slots is the number of requests that the server processes at a time, or 0 if it
+	// is not known.
+	Slots int
 }
 
 // ServiceView is one service as the mapper sees it.
@@ -318,6 +455,12 @@
 type RouteView struct {
 	Address netip.AddrPort
 	Targets []RouteTarget
+	// Target is the time within which callers want an answer, Deadline the time after
+	// which they give up; 0 if they are not stated.
+	Target   time.Duration
+	Deadline time.Duration
+	// Priority is the precedence of the route's flows; 0 is the highest.
+	Priority int
 }
 
 // RouteTarget is a service and its share of a route's new flows.
@@ -342,6 +485,10 @@
 	Members     []MemberView
 	Servers     []ServerView
 	Services    []ServiceView
+	// Departures and Limits are the decisions that apply to the new flows of this data
+	// centre's callers.
+	Departures []Departure
+	Limits     []AdmissionLimit
 	// Revision changes with everything else in the view, except for the leases,
 	// the recency and the digests of Members, which may change at any tick.
 	Revision uint64
