Hold packets that arrive before an entry instance knows its tables

Cause: after an outage of all instances the fabric sends packets to each as soon as it runs. Until it had the routes and backend servers, 0.13 to 0.35 s later, it dropped them, and a caller's next retransmission was up to 1.6 s away, for some after their deadline. Change: core/zfhold keeps up to 1,024 packets, one for each retransmitted one, and they are routed once the tables are known.

--- /dev/null
+++ b/core/zfhold/table.go
@@ -0,0 +1,95 @@
+// Package zfhold keeps the packets that arrive at an instance before it knows the routes
+// and backend servers, until it does. After an outage of all instances the fabric sends
+// packets to each as soon as it runs, and a caller whose packet is lost then waits for its
+// next retransmission, which may be later than its deadline.
+package zfhold
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	zf "zinniafront"
+)
+
+const (
+	// maxRows and maxBytes bound the table.
+	maxRows  = 1024
+	maxBytes = 1 << 20
+	// maxAge is the age from which a packet isn't released: its caller retransmits an
+	// opening packet after 200 and 600 ms.
+	maxAge = 600 * time.Millisecond
+)
+
+// key identifies a packet and its retransmissions.
+type key struct {
+	flow     zf.Flow
+	kind     zf.PacketKind
+	sequence uint32
+}
+
+type row struct {
+	frame     []byte
+	arrivedAt time.Time
+}
+
+// Table holds the packets. It is safe for concurrent use by the traffic goroutines and the
+// control goroutine.
+type Table struct {
+	mutex    sync.Mutex
+	rows     map[key]row
+	bytes    int
+	released bool
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		rows: make(map[key]row),
+	}
+}
+
+// Add adds a copy of a packet's frame. A retransmission replaces the packet before it, so
+// that only one is forwarded. It returns false if the packets have been released or there
+// is no room.
+func (t *Table) Add(packet *zf.Packet, frame []byte, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	k := key{
+		flow:     packet.Flow,
+		kind:     packet.Kind,
+		sequence: packet.Sequence,
+	}
+	earlier, known := t.rows[k]
+	if t.released || !known && len(t.rows) >= maxRows || t.bytes+len(frame)-len(earlier.frame) > maxBytes {
+		return false
+	}
+	t.bytes += len(frame) - len(earlier.frame)
+	t.rows[k] = row{
+		frame:     slices.Clone(frame),
+		arrivedAt: now,
+	}
+	return true
+}
+
+// Release empties the table for good and returns the frames that are not older than maxAge,
+// in the order of their arrival.
+func (t *Table) Release(now time.Time) [][]byte {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	rows := make([]row, 0, len(t.rows))
+	for _, r := range t.rows {
+		if now.Sub(r.arrivedAt) < maxAge {
+			rows = append(rows, r)
+		}
+	}
+	t.rows = nil
+	t.released = true
+	slices.SortFunc(rows, func(a, b row) int { return cmp.Compare(a.arrivedAt.UnixNano(), b.arrivedAt.UnixNano()) })
+	frames := make([][]byte, 0, len(rows))
+	for _, r := range rows {
+		frames = append(frames, r.frame)
+	}
+	return frames
+}
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -10,6 +10,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
+	"zinniafront/core/zfhold"
 	"zinniafront/core/zfregistry"
 	"zinniafront/io/command/zfcmd"
 	"zinniafront/io/zfcluster"
@@ -89,6 +90,7 @@
 		Threads:    settings.Threads,
 		Framing:    func() zf.Framing { return platform.NewFraming(settings.Listen.Traffic) },
 		Mapper:     loop.Mapper(),
+		Held:       zfhold.New(),
 		Clock:      f.Clock,
 		Counters:   counters,
 		OnDecision: decisionLog.Log,
@@ -142,6 +144,7 @@
 		ApplyReply: p.Loop.ApplyReply,
 	})
 	p.Loop.OnFlowsEnded(p.Traffic.SendResets)
+	p.Loop.OnRoutable(p.Traffic.ReleaseHeld)
 	p.Loop.OnControlOffered(subscriber.Offer)
 	p.Reloader.onSeedsChanged(func(seeds []netip.AddrPort) {
 		subscriber.SetSeeds(zfcluster.PeerAddresses(seeds, p.Settings.Listen.Advertise))
--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -54,9 +54,11 @@
 
 	PacketReceived  metrics.Counter
 	PacketForwarded metrics.Counter
-	PacketRelayed   ReasonCounters
-	PacketDropped   ReasonCounters
-	FlowReset       ReasonCounters
+	// PacketHeld counts packets kept until the instance could route them.
+	PacketHeld    metrics.Counter
+	PacketRelayed ReasonCounters
+	PacketDropped ReasonCounters
+	FlowReset     ReasonCounters
 
 	// MessageRefused counts received messages that were refused and, as sendfailed,
 	// messages that could not be sent.
@@ -101,6 +103,7 @@
 		Registry:        registry,
 		PacketReceived:  metrics.NewRegisteredCounter("packet.received", registry),
 		PacketForwarded: metrics.NewRegisteredCounter("packet.forwarded", registry),
+		PacketHeld:      metrics.NewRegisteredCounter("packet.held", registry),
 		PacketRelayed:   newReasonCounters(registry, "packet.relayed"),
 		PacketDropped:   newReasonCounters(registry, "packet.dropped"),
 		FlowReset:       newReasonCounters(registry, "flow.reset"),
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -49,8 +49,10 @@
 	// flowsEndedHandler receives the open flows whose backend servers were found dead,
 	// to reset them at their callers.
 	flowsEndedHandler func(ended []zf.EndedFlow)
-	feed              *zfcluster.Feed
-	quorum            quorumStatus
+	// routableHandler is called once the mapper can route packets.
+	routableHandler func()
+	feed            *zfcluster.Feed
+	quorum          quorumStatus
 	// ready and index are copies of the world's fields for other goroutines.
 	ready atomic.Bool
 	index atomic.Uint64
@@ -113,6 +115,10 @@
 // found dead, to reset them at their callers. Call it before Run.
 func (l *Loop) OnFlowsEnded(handler func(ended []zf.EndedFlow)) { l.flowsEndedHandler = handler }
 
+// OnRoutable sets the handler that is called once the mapper can route packets. Call it
+// before Run.
+func (l *Loop) OnRoutable(handler func()) { l.routableHandler = handler }
+
 // Run applies the events in the inbox and runs all systems each tick until ctx is done.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
@@ -151,6 +157,10 @@
 // flush passes on the effects of events and systems: it resets flows that have ended,
 // answers fetches, and publishes and logs changes.
 func (l *Loop) flush() {
+	if l.routableHandler != nil && l.config.World.Mapper().Synced() {
+		l.routableHandler()
+		l.routableHandler = nil
+	}
 	if ended := l.config.World.EndedFlows(); len(ended) > 0 && l.flowsEndedHandler != nil {
 		l.flowsEndedHandler(ended)
 	}
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	zf "zinniafront"
+	"zinniafront/core/zfhold"
 	"zinniafront/io/zfcounter"
 )
 
@@ -32,8 +33,11 @@
 	// Threads is the number of goroutines that read each socket.
 	Threads int
 	// Framing returns a new framing for one goroutine.
-	Framing  func() zf.Framing
-	Mapper   zf.Mapper
+	Framing func() zf.Framing
+	Mapper  zf.Mapper
+	// Held keeps the packets that the mapper can't route yet until ReleaseHeld is called;
+	// without it they are dropped.
+	Held     *zfhold.Table
 	Clock    zf.Clock
 	Counters *zfcounter.Set
 	// OnDecision is called with every decision; it may be nil.
@@ -142,6 +146,13 @@
 	packet.Relay = relay
 	now := s.config.Clock.Now()
 	verdict := s.config.Mapper.Route(packet, now)
+	if verdict.Reason == zf.ReasonNotReady && s.config.Held != nil {
+		if s.config.Held.Add(&packet, frame, now) {
+			counters.PacketHeld.Inc(1)
+			return
+		}
+		verdict = s.config.Mapper.Route(packet, now) // The packets may have just been released.
+	}
 	switch verdict.Action {
 	case zf.ActionForward:
 		_, err = s.traffic.WriteToUDPAddrPort(framing.Forward(frame, verdict), verdict.To)
@@ -163,6 +174,15 @@
 	}
 }
 
+// ReleaseHeld routes the packets that arrived before the mapper could. Call it once the
+// mapper can.
+func (s *Sockets) ReleaseHeld() {
+	framing := s.config.Framing()
+	for _, frame := range s.config.Held.Release(s.config.Clock.Now()) {
+		s.handle(framing, frame, netip.AddrPort{})
+	}
+}
+
 // SendResets sends a reset to the caller of each ended flow.
 func (s *Sockets) SendResets(ended []zf.EndedFlow) {
 	framing := s.config.Framing()
