Decide the share of new flows that leave a data centre

Change: package zfdeparture. A table with the room, wait and demand of each service in each data centre, and a system that moves the shares of new flows in steps. Each data centre claims its part of the room that others leave free from the same reported figures, so that the claims add up to it without a coordinator. ServiceRoom tells the demand of own callers. Nothing uses the package yet.

--- /dev/null
+++ b/core/zfdeparture/table.go
@@ -0,0 +1,343 @@
+// Package zfdeparture decides which share of a service's new flows leaves the data centre
+// of their callers, and where it goes. Its table has a row for each service and data
+// centre: the room of the backend servers there, their expected wait, and the demand by
+// the callers' data centre. Control instances of all data centres exchange these figures;
+// its system decides for the own data centre.
+package zfdeparture
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	zf "zinniafront"
+)
+
+// Config holds the parameters of a table.
+type Config struct {
+	// Self is the own data centre. Source identifies this control instance: of those of
+	// one data centre that reach each other, the one with the lowest decides.
+	Self   zf.CentreName
+	Source uint64
+	// Leave is set if new flows may leave. Otherwise figures are exchanged only.
+	Leave bool
+	// Kilobyte is the shorter wait for which a kilobyte of answers may be moved between
+	// data centres.
+	Kilobyte time.Duration
+	// Delay is the assumed round trip to a data centre for which it is not known.
+	Delay time.Duration
+}
+
+const (
+	// figureTimeout is the age of another data centre's figures from which it has no
+	// room to give.
+	figureTimeout = 3 * time.Second
+	// rowTimeout is how long a row without figures is kept.
+	rowTimeout = time.Minute
+)
+
+// key identifies a row.
+type key struct {
+	service zf.ServiceName
+	centre  zf.CentreName
+}
+
+// row holds the figures of one service in one data centre.
+type row struct {
+	// room is as the data centre reported it, measured at measuredAt.
+	room       zf.ServiceRoom
+	measuredAt time.Time
+	// demand is the number of requests a second, by the data centre of their callers.
+	demand map[zf.CentreName]float64
+	// share is the share of the own data centre's new flows that goes to this one.
+	share float64
+}
+
+// centre holds what is known about one data centre.
+type centre struct {
+	// measuredAt is when its last figures were measured.
+	measuredAt time.Time
+	// delay is the round trip to it, or 0 if that is not known.
+	delay time.Duration
+}
+
+// Table holds the rows. It belongs to the control goroutine.
+type Table struct {
+	config   Config
+	rows     map[key]*row
+	centres  map[zf.CentreName]*centre
+	services map[zf.ServiceName]*service
+	// firstTick and lastDecision are when the system first ran and last decided.
+	firstTick    time.Time
+	lastDecision time.Time
+	decider      decider
+	changes      []Change
+}
+
+// decider holds the last decisions of another control instance of the own data centre.
+type decider struct {
+	departures []zf.Departure
+	receivedAt time.Time
+}
+
+// New returns a table without rows.
+func New(config Config) *Table {
+	return &Table{
+		config:   config,
+		rows:     make(map[key]*row),
+		centres:  make(map[zf.CentreName]*centre),
+		services: make(map[zf.ServiceName]*service),
+	}
+}
+
+func (t *Table) row(service zf.ServiceName, centre zf.CentreName) *row {
+	k := key{
+		service: service,
+		centre:  centre,
+	}
+	r := t.rows[k]
+	if r == nil {
+		r = &row{
+			demand: make(map[zf.CentreName]float64),
+		}
+		t.rows[k] = r
+	}
+	return r
+}
+
+func (t *Table) centre(name zf.CentreName) *centre {
+	c := t.centres[name]
+	if c == nil {
+		c = &centre{}
+		t.centres[name] = c
+	}
+	return c
+}
+
+// Record replaces the figures that the control instances of a data centre report: the
+// rooms of its own backend servers, and the demand that its callers send to others.
+// Figures that were measured before those in the table are ignored.
+func (t *Table) Record(from zf.CentreName, figures []zf.ServiceRoom, now time.Time) {
+	if len(figures) == 0 || from == "" {
+		return
+	}
+	measuredAt := now.Add(-figures[0].Age)
+	for _, figure := range figures {
+		measuredAt = earlier(measuredAt, now.Add(-figure.Age))
+	}
+	c := t.centre(from)
+	if measuredAt.Before(c.measuredAt) {
+		return
+	}
+	c.measuredAt = measuredAt
+	for k, r := range t.rows {
+		delete(r.demand, from)
+		if k.centre == from {
+			r.room = zf.ServiceRoom{}
+		}
+	}
+	for _, figure := range figures {
+		t.centre(figure.Centre)
+		r := t.row(figure.Service, figure.Centre)
+		if figure.Centre != from {
+			r.demand[from] = nonNegative(figure.Demand)
+			continue
+		}
+		r.room = figure
+		r.room.Room = nonNegative(figure.Room)
+		r.demand[from] = nonNegative(figure.Own)
+		r.measuredAt = measuredAt
+	}
+	if from == t.config.Self {
+		for k, r := range t.rows {
+			if k.centre == from {
+				r.room.Demand = t.totalDemand(k.service, from, now)
+			}
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// nonNegative returns x, or 0 if it is negative or not a number.
+func nonNegative(x float64) float64 {
+	if x > 0 && !math.IsInf(x, 1) {
+		return x
+	}
+	return 0
+}
+
+// delayRise is the part of a longer round trip by which the known one rises. Single
+// round trips include waits for processors and retransmissions.
+const delayRise = 1.0 / 64
+
+// RecordDelay records a measured round trip to a data centre.
+func (t *Table) RecordDelay(to zf.CentreName, roundTrip time.Duration) {
+	if to == t.config.Self || to == "" || roundTrip <= 0 {
+		return
+	}
+	c := t.centre(to)
+	switch {
+	case c.delay == 0 || roundTrip < c.delay:
+		c.delay = roundTrip
+	default:
+		c.delay += time.Duration(delayRise * float64(roundTrip-c.delay))
+	}
+}
+
+func (t *Table) delay(to zf.CentreName) time.Duration {
+	if c := t.centres[to]; c != nil && c.delay > 0 {
+		return c.delay
+	}
+	return t.config.Delay
+}
+
+// fresh reports whether the figures of a data centre are recent enough to send flows
+// there.
+func (t *Table) fresh(name zf.CentreName, now time.Time) bool {
+	c := t.centres[name]
+	return c != nil && !c.measuredAt.IsZero() && now.Sub(c.measuredAt) < figureTimeout
+}
+
+// callersDemand returns the requests a second of a data centre's callers to all data
+// centres.
+func (t *Table) callersDemand(service zf.ServiceName, from zf.CentreName) float64 {
+	sum := 0.0
+	for name := range t.centres {
+		if r := t.rows[key{service: service, centre: name}]; r != nil {
+			sum += r.demand[from]
+		}
+	}
+	return sum
+}
+
+// totalDemand returns the requests a second to a data centre from all whose figures are
+// fresh.
+func (t *Table) totalDemand(service zf.ServiceName, to zf.CentreName, now time.Time) float64 {
+	r := t.rows[key{service: service, centre: to}]
+	if r == nil {
+		return 0
+	}
+	sum := 0.0
+	for from, demand := range r.demand {
+		if t.fresh(from, now) {
+			sum += demand
+		}
+	}
+	return sum
+}
+
+// reports reports whether this instance's figures are complete: entry instances have
+// had the time to report theirs since the start.
+func (t *Table) reports(now time.Time) bool {
+	return !t.firstTick.IsZero() && now.Sub(t.firstTick) >= figureTimeout
+}
+
+// Figures returns the figures of the own data centre for control instances of others, of
+// the services with traffic in any data centre.
+func (t *Table) Figures(now time.Time) []zf.ServiceRoom {
+	if !t.reports(now) || !t.fresh(t.config.Self, now) {
+		return nil
+	}
+	var figures []zf.ServiceRoom
+	for _, k := range t.sortedKeys() {
+		r := t.rows[k]
+		age := now.Sub(t.centre(t.config.Self).measuredAt)
+		switch sent := r.demand[t.config.Self]; {
+		case k.centre == t.config.Self:
+			figure := t.serviceRoom(k, now)
+			if t.hasTraffic(k.service) {
+				figures = append(figures, rounded(figure))
+			}
+		case sent > 0:
+			figures = append(figures, rounded(zf.ServiceRoom{
+				Service: k.service,
+				Centre:  k.centre,
+				Demand:  sent,
+				Age:     age,
+			}))
+		}
+	}
+	return figures
+}
+
+func (t *Table) hasTraffic(service zf.ServiceName) bool {
+	for name := range t.centres {
+		if t.callersDemand(service, name) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ServiceRooms returns the rooms in all data centres whose figures are fresh.
+func (t *Table) ServiceRooms(now time.Time) []zf.ServiceRoom {
+	var rooms []zf.ServiceRoom
+	for _, k := range t.sortedKeys() {
+		if t.fresh(k.centre, now) && t.rows[k].room.Service != "" {
+			rooms = append(rooms, t.serviceRoom(k, now))
+		}
+	}
+	return rooms
+}
+
+// serviceRoom returns the room of a row with the demand and the age as of now.
+func (t *Table) serviceRoom(k key, now time.Time) zf.ServiceRoom {
+	r := t.rows[k]
+	room := r.room
+	room.Service = k.service
+	room.Centre = k.centre
+	room.Own = r.demand[k.centre]
+	room.Demand = t.totalDemand(k.service, k.centre, now)
+	room.Age = now.Sub(t.centre(k.centre).measuredAt)
+	return room
+}
+
+func (t *Table) sortedKeys() []key {
+	return slices.SortedFunc(maps.Keys(t.rows), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.centre, b.centre))
+	})
+}
+
+// The resolutions of figures in messages; shorter numbers make shorter messages.
+const (
+	rateResolution = 1.0 / 8
+	waitResolution = 100 * time.Microsecond
+)
+
+func rounded(figure zf.ServiceRoom) zf.ServiceRoom {
+	figure.Room = math.Round(figure.Room/rateResolution) * rateResolution
+	figure.Demand = math.Round(figure.Demand/rateResolution) * rateResolution
+	figure.Own = math.Round(figure.Own/rateResolution) * rateResolution
+	figure.Wait = figure.Wait.Round(waitResolution)
+	figure.Age = figure.Age.Round(time.Millisecond)
+	return figure
+}
+
+// expire removes the rows without recent figures and without flows.
+func (t *Table) expire(now time.Time) {
+	for name, c := range t.centres {
+		if now.Sub(c.measuredAt) < rowTimeout || c.measuredAt.IsZero() {
+			continue
+		}
+		c.measuredAt = time.Time{}
+		for k, r := range t.rows {
+			delete(r.demand, name)
+			if k.centre == name {
+				r.room = zf.ServiceRoom{}
+			}
+		}
+	}
+	for k, r := range t.rows {
+		if r.room.Service == "" && len(r.demand) == 0 && r.share == 0 {
+			delete(t.rows, k)
+		}
+	}
+}
--- a/value.go
+++ b/value.go
@@ -267,6 +267,8 @@
 	// they get from callers of all data centres.
 	Room   float64
 	Demand float64
+	// Own is the part of Demand that callers of the same data centre send.
+	Own float64
 	// Wait is the expected wait of a request for a slot.
 	Wait time.Duration
 	// Bytes is the mean size of an answer.
