Send the new flows that leave to another data centre first

Cause: entry instances walk the tiers of a service in order, so that a departure has no effect. Tiers, limits of cold backend servers and probes are as before, and a copy of an opening packet stays if its first target left it unanswered. forward applies departures with the setting load.leaving only. Control instances send no departures yet.

--- /dev/null
+++ b/core/zfcookie/departure.go
@@ -0,0 +1,53 @@
+package zfcookie
+
+import (
+	"math"
+	"slices"
+
+	zf "zinniafront"
+)
+
+// departure is a share of new flows that goes to the backend servers of another data
+// centre.
+type departure struct {
+	// below is the bound of the points of the flows of this departure and those before it.
+	below   uint64
+	servers []*server
+}
+
+// departureRange is the number of points that flows are spread over.
+const departureRange = 1 << 32
+
+// departureMix decorrelates the point of a flow from the other uses of its hash.
+const departureMix = 0x9e3779b97f4a7c15
+
+// setDeparture sets the shares of new flows that leave. Data centres without usable backend
+// servers get none.
+func (p *pool) setDeparture(view zf.Departure) {
+	sum := 0.0
+	for _, to := range view.To {
+		sum = min(sum+to.Share, 1)
+		p.departures = append(p.departures, departure{
+			below: uint64(math.Round(sum * departureRange)),
+			servers: slices.DeleteFunc(slices.Clone(p.tiers[tierRemote]), func(s *server) bool {
+				return s.Centre != to.Centre
+			}),
+		})
+	}
+}
+
+// away returns the backend servers that a new flow goes to although there are others in
+// its data centre, or nil. Retransmissions of its opening packet go to them as well, unless
+// previous, which got the last one, left it unanswered.
+func (p *pool) away(hash uint64, previous *serverStats) []*server {
+	if previous != nil {
+		return nil
+	}
+	point := hash * departureMix >> 32
+	for i := range p.departures {
+		if point < p.departures[i].below {
+			return p.departures[i].servers
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/zfcookie/departure_test.go
@@ -0,0 +1,82 @@
+package zfcookie_test
+
+import (
+	"testing"
+
+	zf "zinniafront"
+	"zinniafront/core/zfcookie"
+	"zinniafront/lab/zfassert"
+)
+
+// departingView returns a view in which a share of the new flows for orders leaves for
+// data centre two.
+func departingView(share float64, servers ...zf.ServerView) zf.View {
+	v := view(servers...)
+	v.Revision++
+	v.Departures = []zf.Departure{{
+		Service: "orders",
+		To: []zf.CentreShare{{
+			Centre: "two",
+			Share:  share,
+		}},
+	}}
+	return v
+}
+
+func assertShare(t testing.TB, mapper *zfcookie.Mapper, number uint64, low, high float64) {
+	t.Helper()
+	const flows = 2000
+	share := float64(openFlows(mapper, flows, start)[number]) / flows
+	zfassert.True(t, "share is in its bounds", share >= low && share <= high)
+}
+
+func TestDeparture(t *testing.T) {
+	home, away, other := row(1, "orders", "one"), row(2, "orders", "two"), row(3, "orders", "three")
+	t.Run("a share of new flows leaves a pressed data centre", func(t *testing.T) {
+		mapper := newMapper(departingView(0.3, home, away, other))
+		assertShare(t, mapper, 2, 0.26, 0.34)
+		assertShare(t, mapper, 3, 0, 0)
+	})
+	t.Run("without departures nobody leaves", func(t *testing.T) {
+		assertShare(t, newMapper(view(home, away, other)), 1, 1, 1)
+	})
+	t.Run("all instances agree, also on copies of an opening packet", func(t *testing.T) {
+		var servers []zf.ServerView
+		for n := range uint64(4) {
+			servers = append(servers, row(n, "orders", "one"), row(10+n, "orders", "two"))
+		}
+		one, another := newMapper(departingView(0.5, servers...)), newMapper(departingView(0.5, servers...))
+		for port := range 100 {
+			leaves := one.Route(opening(port, 0), start).Number >= 10
+			zfassert.Equal(t, "leaves", another.Route(opening(port, 1), start).Number >= 10, leaves)
+		}
+	})
+	t.Run("a copy stays if its first target did not answer", func(t *testing.T) {
+		mapper := newMapper(departingView(1, home, away))
+		zfassert.Equal(t, "first", mapper.Route(opening(1, 0), start).Number, uint64(2))
+		zfassert.Equal(t, "copy", mapper.Route(opening(1, 1), start).Number, uint64(1))
+	})
+	t.Run("flows stay if no backend server there takes new flows", func(t *testing.T) {
+		out, suspect, draining := row(2, "orders", "two"), row(4, "orders", "two"), row(5, "orders", "two")
+		out.Allowed, suspect.Suspect = false, true
+		draining.State, draining.Weight = zf.ServerDraining, 0
+		assertShare(t, newMapper(departingView(1, home, out, suspect, draining, other)), 1, 1, 1)
+	})
+	t.Run("the rate of a cold backend server limits those that leave", func(t *testing.T) {
+		cold := row(2, "orders", "two")
+		cold.State, cold.OpeningRate = zf.ServerCold, 1
+		got := openFlows(newMapper(departingView(1, home, cold)), 100, start)
+		zfassert.Equal(t, "new flows of the cold one", got[2], 1)
+	})
+	t.Run("open flows never move", func(t *testing.T) {
+		mapper := newMapper(view(home, away))
+		verdict := mapper.Route(opening(1, 0), start)
+		mapper.Tick(start, departingView(1, home, away))
+		zfassert.Equal(t, "backend server", mapper.Route(data(1, verdict.Cookie, 1), start).Number, uint64(1))
+	})
+	t.Run("no allocation", func(t *testing.T) {
+		mapper := newMapper(departingView(0.5, home, away))
+		packet := opening(1, 0)
+		zfassert.Equal(t, "allocations", testing.AllocsPerRun(100, func() { mapper.Route(packet, start) }), 0.0)
+	})
+}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -130,6 +130,8 @@
 type pool struct {
 	// tiers holds the backend servers in order of preference.
 	tiers [tierCount][]*server
+	// departures are the shares of new flows that go to other data centres first.
+	departures []departure
 }
 
 // The tiers of a pool.
@@ -267,6 +269,11 @@
 	for _, p := range pools {
 		p.sort()
 	}
+	for _, departure := range view.Departures {
+		if p := pools[departure.Service]; p != nil {
+			p.setDeparture(departure)
+		}
+	}
 	for _, r := range view.Routes {
 		next.routes.add(r.Address, newRoute(r, pools))
 		next.addresses = append(next.addresses, r.Address)
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -37,7 +37,9 @@
 
 // openingPacket is an opening packet for which a backend server is chosen.
 type openingPacket struct {
-	hash            uint64
+	hash uint64
+	// away are the backend servers of another data centre that are tried first, or nil.
+	away            []*server
 	retransmissions int
 	// previous holds the statistics of the backend server that the packet was last
 	// forwarded to, or nil.
@@ -80,6 +82,11 @@
 // get the packet only as its probe, should it be one that is only probed.
 func (p *pool) find(o openingPacket) (s *server, probe bool) {
 	offset := 2 * o.retransmissions
+	if offset < len(o.away) {
+		if s := o.lessLoaded(o.away, offset); s != nil {
+			return s, true
+		}
+	}
 	for _, tier := range p.tiers {
 		if len(tier) == 0 {
 			continue
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -125,6 +125,7 @@
 	}
 	s := p.choose(openingPacket{
 		hash:            hash,
+		away:            p.away(hash, previous),
 		retransmissions: packet.Retransmissions,
 		previous:        previous,
 		now:             now,
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -21,6 +21,8 @@
 	Mapper   zf.Mapper
 	Observer zf.Observer
 	Registry zfregistry.Config
+	// Leaving is set if departures are applied.
+	Leaving bool
 }
 
 // State is a control state that an instance puts in force.
@@ -92,6 +94,7 @@
 	// loadsReported is when the loads of backend servers were last reported.
 	loadsReported time.Time
 	viewRevisions revisions
+	departures    departures
 }
 
 // restoredColdTime is how long the backend servers of a data centre count as cold
@@ -109,6 +112,8 @@
 	synced bool
 	// restored is the number of data centres recently brought back into service.
 	restored int
+	// departures is departures.revision.
+	departures uint64
 }
 
 // New returns a world without control state.
@@ -170,6 +175,7 @@
 	w.registry.Merge(reply.Changes, now)
 	if reply.Loads != nil {
 		w.config.Observer.SetTotalLoads(reply.Loads, now)
+		w.departures.update(reply.Departures, w.config.Leaving, now)
 	}
 	changed := reply.State != nil && reply.State.Index > w.state.Index
 	if changed {
@@ -224,17 +230,20 @@
 
 // tickMapper runs the mapper's tick, with a new view if the inputs of the view changed.
 func (w *World) tickMapper(now time.Time) {
+	w.departures.expire(now)
 	current := revisions{
 		servers:    w.registry.ContentRevision(),
 		index:      w.state.Index,
 		entryCount: w.entryCount,
 		synced:     w.synced,
 		restored:   w.recentlyRestored(now),
+		departures: w.departures.revision,
 	}
 	if w.view.Revision == 0 || current != w.viewRevisions {
 		w.viewRevisions = current
 		w.view.RoutesKnown = w.synced && w.state.Bundle != nil
 		w.view.Routes = w.routes
+		w.view.Departures = w.departures.inForce
 		w.view.Servers = w.limitColdServers(w.registry.View(w.state.Out), now)
 		w.view.Revision++
 	}
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -72,6 +72,7 @@
 		Mapper:   mapper,
 		Observer: mapper,
 		Registry: zfregistry.DefaultConfig(zfregistry.Source(source), settings.Platform.HeartbeatInterval),
+		Leaving:  settings.Load.Leaving,
 	})
 	return zfforwardloop.New(zfforwardloop.Config{
 		World:  world,
