Exchange rooms between data centres and decide on departures

Cause: zfdeparture has no figures, and entry instances get no departures. Change: each control instance sends the rooms of its data centre, and the demand that its callers send to others, to the control instances of other data centres about once a second, and departures to the entry instances of its own with the total loads. Replies tell how long they were held back, so that a fetch measures the round trip. Of the control instances of a data centre the one with the lowest source decides, and the others follow it. On with the settings load.leaving (decisions) or load.admission (rooms only); without them replies are as before.

--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -14,6 +14,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfcontrol"
+	"zinniafront/core/zfdeparture"
 	"zinniafront/core/zfload"
 	"zinniafront/core/zfoutlier"
 	"zinniafront/core/zfpermit"
@@ -31,6 +32,9 @@
 	Quorum   zfquorum.Config
 	Registry zfregistry.Config
 	Outlier  zfoutlier.Config
+	// Departure is nil if data centres exchange no figures of their rooms and no new
+	// flows leave.
+	Departure *zfdeparture.Config
 	// Decode returns the bundle of a document as stored in the control state.
 	Decode func(document []byte) (*zfbundle.Bundle, error)
 }
@@ -95,6 +99,8 @@
 	loads                *zfload.Table
 	stopPermits          *zfpermit.Table
 	rotation             *zfrotation.Table
+	departures           *zfdeparture.Table
+	lastFigures          time.Time
 	lastOutlierDetection time.Time
 	newOutliers          []zfoutlier.Outlier
 	stateMachine         *zfcontrol.StateMachine
@@ -118,7 +124,7 @@
 
 // New returns a world.
 func New(config Config, now time.Time) *World {
-	return &World{
+	w := &World{
 		config:      config,
 		replica:     zfquorum.New(config.Quorum, now),
 		registry:    zfregistry.New(config.Registry),
@@ -129,6 +135,10 @@
 
 		peerContact: make(map[netip.AddrPort]time.Time),
 	}
+	if config.Departure != nil {
+		w.departures = zfdeparture.New(*config.Departure)
+	}
+	return w
 }
 
 // Replica returns the Raft replica of the control state.
@@ -184,6 +194,7 @@
 	w.stopPermits.Tick(now)
 	w.rotation.Tick(now)
 	w.detectOutliers(now)
+	w.decideDepartures(now)
 	w.advanceOperations(now)
 }
 
--- a/core/zfdeparture/change.go
+++ b/core/zfdeparture/change.go
@@ -13,9 +13,8 @@
 // Change is a change of a decision, with its inputs.
 type Change struct {
 	zf.Departure
-	// Share is the sum of the shares, Demand that of the callers of the own data centre in
-	// requests a second, Room what its backend servers sustain.
-	Share  float64
+	// Demand is that of the callers of the own data centre in requests a second, Room what
+	// its backend servers sustain.
 	Demand float64
 	Room   float64
 	// HomeAge and AwayAge are the ages of the figures of the own data centre and the
@@ -36,7 +35,6 @@
 )
 
 func (t *Table) recordChanges(now time.Time) {
-	departures := t.Departures()
 	for _, name := range slices.Sorted(maps.Keys(t.services)) {
 		s := t.services[name]
 		departure := zf.Departure{
@@ -44,12 +42,12 @@
 			Home:    s.wait,
 			Away:    s.away,
 		}
-		if i, found := slices.BinarySearchFunc(departures, name, func(d zf.Departure, name zf.ServiceName) int {
+		if i, found := slices.BinarySearchFunc(t.departures, name, func(d zf.Departure, name zf.ServiceName) int {
 			return cmp.Compare(d.Service, name)
 		}); found {
-			departure = departures[i]
+			departure = t.departures[i]
 		}
-		share := shareOf(departure)
+		share := departure.Share()
 		begins := share > 0 != (s.loggedShare > 0)
 		differs := math.Abs(share-s.loggedShare) >= changeShare && now.Sub(s.loggedAt) >= changeInterval
 		if !begins && !differs || len(t.changes) >= maxChanges {
@@ -59,7 +57,6 @@
 		s.loggedAt = now
 		t.changes = append(t.changes, Change{
 			Departure: departure,
-			Share:     share,
 			Demand:    t.callersDemand(name, t.config.Self),
 			Room:      t.row(name, t.config.Self).room.Room,
 			HomeAge:   now.Sub(t.centre(t.config.Self).measuredAt),
@@ -69,14 +66,6 @@
 	}
 }
 
-func shareOf(departure zf.Departure) float64 {
-	sum := 0.0
-	for _, to := range departure.To {
-		sum += to.Share
-	}
-	return sum
-}
-
 func (t *Table) oldest(departure zf.Departure, now time.Time) time.Duration {
 	age := time.Duration(0)
 	for _, to := range departure.To {
--- a/core/zfdeparture/decide.go
+++ b/core/zfdeparture/decide.go
@@ -101,6 +101,7 @@
 	if follows {
 		t.adopt()
 	}
+	t.departures = t.listDepartures()
 	t.recordChanges(now)
 }
 
@@ -258,11 +259,11 @@
 	d.row.share = share
 }
 
-// Departures returns the decisions in force, by service.
-func (t *Table) Departures() []zf.Departure {
-	if !t.config.Leave {
-		return nil
-	}
+// Departures returns the decisions in force, by service. The slice must not be modified.
+func (t *Table) Departures() []zf.Departure { return t.departures }
+
+// listDepartures returns the departures of the shares in the rows.
+func (t *Table) listDepartures() []zf.Departure {
 	var departures []zf.Departure
 	for _, k := range t.sortedKeys() {
 		share := t.rows[k].share
--- a/core/zfdeparture/exchange_test.go
+++ b/core/zfdeparture/exchange_test.go
@@ -93,9 +93,13 @@
 
 // leaving returns the share of the site's new flows that leave.
 func (s *site) leaving() float64 {
+	return leaving(s.table)
+}
+
+func leaving(table *zfdeparture.Table) float64 {
 	sum := 0.0
-	for _, share := range s.shares() {
-		sum += share
+	for _, departure := range table.Departures() {
+		sum += departure.Share()
 	}
 	return sum
 }
--- a/core/zfdeparture/table.go
+++ b/core/zfdeparture/table.go
@@ -73,6 +73,7 @@
 	firstTick    time.Time
 	lastDecision time.Time
 	decider      decider
+	departures   []zf.Departure
 	changes      []Change
 }
 
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -311,15 +311,7 @@
 		Leave:    true,
 		Kilobyte: price,
 	})
-	share := func() float64 {
-		sum := 0.0
-		for _, departure := range follower.Departures() {
-			for _, to := range departure.To {
-				sum += to.Share
-			}
-		}
-		return sum
-	}
+	share := func() float64 { return leaving(follower) }
 	// follow passes time for both control instances.
 	follow := func(d time.Duration, alive bool) {
 		x.run(d, func() {
--- a/io/command/zfservecmd/controller.go
+++ b/io/command/zfservecmd/controller.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"github.com/zeebo/xxh3"
 	"go.uber.org/fx"
 
 	"zinniafront/core/zfcontroller"
+	"zinniafront/core/zfdeparture"
 	"zinniafront/core/zfoutlier"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
@@ -85,6 +87,8 @@
 		Registry: zfregistry.DefaultConfig(zfregistry.Source(p.Source), p.Settings.Platform.HeartbeatInterval),
 		Outlier:  zfoutlier.DefaultConfig(),
 		Decode:   p.Bundles.decode,
+
+		Departure: departureConfig(p.Settings, p.Source),
 	}, p.Factory.Clock.Now())
 	loop := zfcontrollerloop.New(zfcontrollerloop.Config{
 		World:       world,
@@ -106,6 +110,24 @@
 	return loop, loop.LoadSubscribers()
 }
 
+// assumedDelay is the assumed round trip to a data centre until it is measured.
+const assumedDelay = 10 * time.Millisecond
+
+// departureConfig returns nil if the settings ask for no decisions by the rooms of all data
+// centres.
+func departureConfig(settings *zfdocument.Settings, source source) *zfdeparture.Config {
+	if !settings.Load.Leaving && !settings.Load.Admission {
+		return nil
+	}
+	return &zfdeparture.Config{
+		Self:     settings.Centre,
+		Source:   uint64(source),
+		Leave:    settings.Load.Leaving,
+		Kilobyte: settings.Load.Kilobyte,
+		Delay:    assumedDelay,
+	}
+}
+
 // initialRecord returns the record and the ID of an instance with a new disk. On the
 // first start of the whole system, the instances at the seeds are the voters. Their
 // IDs are hashes of their addresses, so that all instances derive the same IDs.
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -1,6 +1,7 @@
 package zfcluster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -32,6 +33,11 @@
 	// report, or the total loads, with those that other control instances report, if
 	// total is set.
 	Loads(total bool, now time.Time) []zf.ServerLoad
+	// Figures returns the rooms of the services in the data centre of this instance, and
+	// the demand that its callers send to others.
+	Figures(now time.Time) []zf.ServiceRoom
+	// Departures returns the departures in force, and whether this instance made them.
+	Departures(now time.Time) (departures []zf.Departure, decides bool)
 	// StopPermitted reports whether an entry instance that was asked to stop has a stop
 	// permit, and grants one if that is possible now.
 	StopPermitted(instance zf.InstanceName, now time.Time) bool
@@ -67,6 +73,9 @@
 	// remoteTimeout is how long the last reply of another feed remains valid: its
 	// subscribers may be cut off and still send traffic with the state they have.
 	remoteTimeout = 10 * time.Second
+	// figureInterval is the minimum time between two reports of figures to one control
+	// instance. They are sums over seconds.
+	figureInterval = 900 * time.Millisecond
 	// maxCentrePeers and maxOtherPeers bound the subscribers of the sender's data
 	// centre and of others in a reply: enough to find one that reaches a control
 	// instance.
@@ -79,9 +88,10 @@
 	args FetchArgs
 	// notBefore is the earliest time of a reply for changes of backend servers, deadline
 	// the time at which a reply is sent without changes.
-	notBefore time.Time
-	deadline  time.Time
-	reply     chan<- FetchReply
+	notBefore  time.Time
+	deadline   time.Time
+	receivedAt time.Time
+	reply      chan<- FetchReply
 }
 
 // subscriberRow is an entry instance that fetches from this feed.
@@ -112,6 +122,9 @@
 	remoteFeeds map[netip.AddrPort]remoteFeed
 	// pages caches the latest pages of backend servers that were sent to entry instances.
 	pages map[pageKey]page
+	// figuresSent is when each control instance was last sent the figures of this data
+	// centre.
+	figuresSent map[zf.InstanceName]time.Time
 }
 
 // remoteFeed is the last report of another feed about its subscribers.
@@ -131,6 +144,7 @@
 		subscribers: make(map[netip.AddrPort]subscriberRow),
 		remoteFeeds: make(map[netip.AddrPort]remoteFeed),
 		pages:       make(map[pageKey]page),
+		figuresSent: make(map[zf.InstanceName]time.Time),
 	}
 }
 
@@ -204,10 +218,11 @@
 	args.Rows = nil
 	args.Outcomes = nil
 	f.pending = append(f.pending, pendingFetch{
-		args:      args,
-		notBefore: now.Add(minReplyInterval),
-		deadline:  now.Add(min(max(args.Hold, 0), maxHold)),
-		reply:     reply,
+		args:       args,
+		notBefore:  now.Add(minReplyInterval),
+		deadline:   now.Add(min(max(args.Hold, 0), maxHold)),
+		receivedAt: now,
+		reply:      reply,
 	})
 }
 
@@ -231,7 +246,9 @@
 		if !due && now.Before(p.deadline) {
 			return false
 		}
-		p.reply <- f.reply(p.args, now) // Each reply channel has room for its one reply.
+		reply := f.reply(p.args, now)
+		reply.Held = now.Sub(p.receivedAt)
+		p.reply <- reply // Each reply channel has room for its one reply.
 		return true
 	})
 }
@@ -255,9 +272,12 @@
 	}
 	if args.Control {
 		reply.Counts = f.config.Data.EntryCounts(now)
+		reply.Centre = f.config.Centre
+		reply.Rooms = f.figuresFor(args, now)
 	}
 	if f.isLocalControl(args) || f.config.SharePeers && args.Centre == f.config.Centre && args.Loads != nil {
 		reply.Loads = f.config.Data.Loads(!args.Control, now)
+		reply.Departures, reply.Decides = f.config.Data.Departures(now)
 	}
 	if !args.Control && published.Index > args.Index {
 		reply.Document = published.Document
@@ -266,6 +286,17 @@
 	return reply
 }
 
+// figuresFor returns the figures of this data centre for a control instance of another
+// one, or nil if it was sent them recently.
+func (f *Feed) figuresFor(args FetchArgs, now time.Time) []zf.ServiceRoom {
+	if args.Centre == f.config.Centre || now.Sub(f.figuresSent[args.Instance]) < figureInterval {
+		return nil
+	}
+	maps.DeleteFunc(f.figuresSent, func(_ zf.InstanceName, at time.Time) bool { return now.Sub(at) >= remoteTimeout })
+	f.figuresSent[args.Instance] = now
+	return f.config.Data.Figures(now)
+}
+
 // isLocalControl reports whether a fetch is from a control instance of the same data
 // centre.
 func (f *Feed) isLocalControl(args FetchArgs) bool {
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -23,6 +23,8 @@
 	published     zfcluster.PublishedState
 	contact       time.Duration
 	loads         []zf.ServerLoad
+	figures       []zf.ServiceRoom
+	departures    []zf.Departure
 	stopPermitted bool
 	mustWait      bool
 }
@@ -56,6 +58,12 @@
 	return s.loads[:min(len(s.loads), 1)]
 }
 
+func (s *testFeedData) Figures(time.Time) []zf.ServiceRoom { return s.figures }
+
+func (s *testFeedData) Departures(time.Time) (departures []zf.Departure, decides bool) {
+	return s.departures, len(s.departures) > 0
+}
+
 func (s *testFeedData) StopPermitted(zf.InstanceName, time.Time) bool { return s.stopPermitted }
 
 func (s *testFeedData) MayEnter(zf.InstanceName, zf.CentreName) bool { return !s.mustWait }
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -138,12 +138,18 @@
 	// Loads are the total loads of the data centre; in a reply to a control instance of
 	// the same one, those that the replying instance's own subscribers report.
 	Loads []zf.ServerLoad
-	// Rooms are the room of the services in the replying instance's data centre and the
-	// demand that its callers send to others, in a reply to a control instance.
-	Rooms []zf.ServiceRoom
+	// Rooms are the room of the services in the replying instance's data centre, Centre,
+	// and the demand that its callers send to others, in a reply to a control instance.
+	// Services without traffic are left out.
+	Rooms  []zf.ServiceRoom
+	Centre zf.CentreName
+	// Held is how long the fetch was held back.
+	Held time.Duration
 	// Departures and Limits are the decisions for the new flows of the data centre's
-	// callers. They replace earlier ones if Loads is set.
+	// callers. They replace earlier ones if Loads is set. In a reply to a control instance
+	// of the same data centre, Decides is set if the replying one made the departures.
 	Departures []zf.Departure
+	Decides    bool
 	Limits     []zf.AdmissionLimit
 	// StepOut grants the permit to leave the rotation that the sender requested.
 	StepOut bool
--- a/io/zfcontrollerloop/feed.go
+++ b/io/zfcontrollerloop/feed.go
@@ -56,6 +56,14 @@
 	return d.world.Loads().Local(now)
 }
 
+// Figures implements zfcluster.FeedData.
+func (d feedData) Figures(now time.Time) []zf.ServiceRoom { return d.world.Figures(now) }
+
+// Departures implements zfcluster.FeedData.
+func (d feedData) Departures(now time.Time) (departures []zf.Departure, decides bool) {
+	return d.world.Departures(now)
+}
+
 // StopPermitted implements zfcluster.FeedData.
 func (d feedData) StopPermitted(instance zf.InstanceName, now time.Time) bool {
 	return d.world.StopPermits().Acquire(instance, now)
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -164,6 +164,7 @@
 	l.feed.AnswerFetches(now)
 	l.logChanges()
 	l.logOutliers()
+	l.logDepartures()
 }
 
 // enqueue adds an event to the inbox and waits while the inbox is full. It returns
@@ -320,13 +321,18 @@
 }
 
 // ApplyPeerReply applies a reply of another control instance: its backend servers,
-// their loads, and its subscribers.
-func (l *Loop) ApplyPeerReply(from netip.AddrPort, reply zfcluster.FetchReply) {
+// their loads, its subscribers, and what its data centre reports. roundTrip is that of the
+// fetch without the time for which it was held back.
+func (l *Loop) ApplyPeerReply(from netip.AddrPort, reply zfcluster.FetchReply, roundTrip time.Duration) {
 	l.enqueue(func(now time.Time) {
 		l.config.World.MergeChanges(from, reply.Changes, now)
 		if reply.Loads != nil {
 			l.config.World.Loads().SetRemote(reply.Source, reply.Loads, now)
 		}
+		l.config.World.RecordFigures(reply.Centre, reply.Rooms, roundTrip, now)
+		if reply.Decides {
+			l.config.World.FollowDepartures(reply.Source, reply.Departures, now)
+		}
 		l.config.World.Rotation().SetRemote(zfrotation.Source(reply.Source), reply.Counts, now)
 		l.feed.RecordRemote(from, reply, now)
 	})
--- a/io/zfcontrollerloop/peerpoller.go
+++ b/io/zfcontrollerloop/peerpoller.go
@@ -111,12 +111,13 @@
 			args.Digests = p.loop.Digests()
 		}
 		progress.Request(&args)
+		start := p.clock.Now()
 		reply, err := client.Fetch(args, peerHold+peerMargin)
 		pause := peerRetryPause
 		if err == nil {
 			lastReply = p.clock.Now()
 			progress.Record(reply)
-			p.loop.ApplyPeerReply(address, reply)
+			p.loop.ApplyPeerReply(address, reply, lastReply.Sub(start)-reply.Held)
 			pause = 0
 		}
 		wait, release := p.clock.After(pause)
--- a/io/zfcontrollerloop/watch.go
+++ b/io/zfcontrollerloop/watch.go
@@ -1,6 +1,7 @@
 package zfcontrollerloop
 
 import (
+	"fmt"
 	"net/netip"
 
 	"zinniafront/core/zfquorum"
@@ -65,6 +66,23 @@
 	}
 }
 
+// logDepartures logs the changed decisions on new flows that leave this data centre, and
+// sets their metrics.
+func (l *Loop) logDepartures() {
+	departures, _ := l.config.World.Departures(l.config.Clock.Now())
+	l.config.Counters.SetDepartures(departures)
+	for _, change := range l.config.World.TakeDepartureChanges() {
+		centres := make([]string, 0, len(change.To))
+		for _, to := range change.To {
+			centres = append(centres, fmt.Sprintf("%s %.3f", to.Centre, to.Share))
+		}
+		l.config.Logger.Entry(zfevent.DepartureChanged).Str("service", string(change.Service)).
+			Float64("share", change.Share()).Strs("centres", centres).Dur("home", change.Home).Dur("away", change.Away).
+			Float64("demand", change.Demand).Float64("room", change.Room).Dur("homeage", change.HomeAge).
+			Dur("awayage", change.AwayAge).Dur("kilobyte", change.Kilobyte).Msg("")
+	}
+}
+
 // client returns the client of another control instance, and creates it if needed.
 func (l *Loop) client(address netip.AddrPort) *zfcluster.Client {
 	l.mutex.Lock()
--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -78,6 +78,9 @@
 
 	InboxDropped ReasonCounters
 
+	// departureShares holds a gauge for each service whose new flows left.
+	departureShares map[zf.ServiceName]metrics.GaugeFloat64
+
 	// AskTime, SaveTime and FetchTime are histograms of the durations of operations,
 	// saves of the record, and fetches with their wait for changes.
 	AskTime   metrics.Timer
@@ -115,9 +118,26 @@
 		RequestRefused:  newReasonCounters(registry, "request.refused"),
 		RequestRetried:  newReasonCounters(registry, "request.retried"),
 		InboxDropped:    newReasonCounters(registry, "inbox.dropped"),
+		departureShares: make(map[zf.ServiceName]metrics.GaugeFloat64),
 		AskTime:         metrics.NewRegisteredTimer("ask.time", registry),
 		SaveTime:        metrics.NewRegisteredTimer("save.time", registry),
 		FetchTime:       metrics.NewRegisteredTimer("fetch.time", registry),
 		ForwardTime:     metrics.NewRegisteredTimer("forward.time", registry),
 	}
 }
+
+// SetDepartures sets the gauges of the shares of new flows that leave. It belongs to the
+// control goroutine.
+func (s *Set) SetDepartures(departures []zf.Departure) {
+	for _, gauge := range s.departureShares {
+		gauge.Update(0)
+	}
+	for _, departure := range departures {
+		gauge := s.departureShares[departure.Service]
+		if gauge == nil {
+			gauge = metrics.NewRegisteredGaugeFloat64("departure.share."+string(departure.Service), s.Registry)
+			s.departureShares[departure.Service] = gauge
+		}
+		gauge.Update(departure.Share())
+	}
+}
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -57,6 +57,12 @@
 // Loads implements zfcluster.FeedData. Only control instances sum up loads.
 func (l *Loop) Loads(bool, time.Time) []zf.ServerLoad { return nil }
 
+// Figures implements zfcluster.FeedData.
+func (l *Loop) Figures(time.Time) []zf.ServiceRoom { return nil }
+
+// Departures implements zfcluster.FeedData. Only control instances decide on them.
+func (l *Loop) Departures(time.Time) (departures []zf.Departure, decides bool) { return nil, false }
+
 // StopPermitted implements zfcluster.FeedData. Every subscriber is permitted to stop:
 // without a control instance no stops are coordinated.
 func (l *Loop) StopPermitted(zf.InstanceName, time.Time) bool { return true }
--- a/value.go
+++ b/value.go
@@ -295,6 +295,15 @@
 	Away time.Duration
 }
 
+// Share returns the share of new flows that leave.
+func (d Departure) Share() float64 {
+	sum := 0.0
+	for _, to := range d.To {
+		sum += to.Share
+	}
+	return sum
+}
+
 // AdmissionLimit is the decision that some of a service's new flows are turned away, as
 // no data centre has room for them.
 type AdmissionLimit struct {
