List figures once a decision and decide only where callers lack room

Cause: with 300 services in 9 data centres a control instance sorted and summed all rows for each fetch of another one, and looked at the claims on every service. Change: figures are listed with the decision; a report replaces only the rows that the one before it had; services whose callers have room are left out. A data centre without backend servers claims by its present lack.

--- a/core/zfdeparture/change.go
+++ b/core/zfdeparture/change.go
@@ -58,7 +58,7 @@
 		t.changes = append(t.changes, Change{
 			Departure: departure,
 			Demand:    t.callersDemand(name, t.config.Self),
-			Room:      t.row(name, t.config.Self).room.Room,
+			Room:      t.roomOf(name, t.config.Self).Room,
 			HomeAge:   now.Sub(t.centre(t.config.Self).measuredAt),
 			AwayAge:   t.oldest(departure, now),
 			Kilobyte:  t.config.Kilobyte,
--- a/core/zfdeparture/decide.go
+++ b/core/zfdeparture/decide.go
@@ -88,6 +88,7 @@
 	t.lastDecision = now
 	t.Record(t.config.Self, figures, now)
 	t.expire(now)
+	t.figures = t.listFigures(now)
 	if !t.config.Leave {
 		return
 	}
@@ -141,7 +142,8 @@
 		s.away = d.Away
 		for _, to := range d.To {
 			t.centre(to.Centre)
-			t.row(d.Service, to.Centre).share = min(nonNegative(to.Share), 1)
+			r, _ := t.row(d.Service, to.Centre)
+			r.share = min(nonNegative(to.Share), 1)
 		}
 	}
 }
@@ -172,8 +174,7 @@
 // observe updates the past values of the own data centre's figures.
 func (t *Table) observe(name zf.ServiceName, out []zf.CentreName) {
 	s := t.service(name)
-	wait := t.row(name, t.config.Self).room.Wait
-	s.wait += time.Duration(waitSmoothing * float64(wait-s.wait))
+	s.wait += time.Duration(waitSmoothing * float64(t.roomOf(name, t.config.Self).Wait-s.wait))
 	demand := t.callersDemand(name, t.config.Self)
 	s.demands = [slopeDecisions + 1]float64{demand, s.demands[0], s.demands[1]}
 	s.lacks = [newsDecisions]float64{t.lack(name, t.config.Self, out), s.lacks[0], s.lacks[1]}
@@ -182,10 +183,13 @@
 // decide updates the shares of one service.
 func (t *Table) decide(name zf.ServiceName, out []zf.CentreName, now time.Time) {
 	s := t.service(name)
-	home := t.row(name, t.config.Self).room
+	home := t.roomOf(name, t.config.Self)
 	demand := s.demands[0]
-	destinations := t.destinations(name, out, now)
 	s.homeless = home.Servers == 0 || slices.Contains(out, t.config.Self)
+	if !s.leaving && !s.homeless && s.lacks[0] == 0 {
+		return
+	}
+	destinations := t.destinations(name, out, now)
 	switch {
 	case !t.fresh(t.config.Self, now) || demand <= 0:
 		s.homeless = false
@@ -265,11 +269,7 @@
 // listDepartures returns the departures of the shares in the rows.
 func (t *Table) listDepartures() []zf.Departure {
 	var departures []zf.Departure
-	for _, k := range t.sortedKeys() {
-		share := t.rows[k].share
-		if share <= 0 {
-			continue
-		}
+	for _, k := range t.sortedKeys(func(r *row) bool { return r.share > 0 }) {
 		if last := len(departures) - 1; last < 0 || departures[last].Service != k.service {
 			s := t.service(k.service)
 			departures = append(departures, zf.Departure{
@@ -281,7 +281,7 @@
 		d := &departures[len(departures)-1]
 		d.To = append(d.To, zf.CentreShare{
 			Centre: k.centre,
-			Share:  math.Round(share*shareScale) / shareScale,
+			Share:  math.Round(t.rows[k].share*shareScale) / shareScale,
 		})
 	}
 	return departures
--- a/core/zfdeparture/destination.go
+++ b/core/zfdeparture/destination.go
@@ -37,7 +37,7 @@
 	}
 	var destinations []destination
 	for _, centreName := range slices.Sorted(maps.Keys(t.centres)) {
-		r := t.rows[key{service: name, centre: centreName}]
+		r := t.find(name, centreName)
 		if centreName == t.config.Self || r == nil {
 			continue
 		}
@@ -61,7 +61,7 @@
 
 // freeRoom returns the room of a data centre that its own callers leave free.
 func (t *Table) freeRoom(name zf.ServiceName, centreName zf.CentreName) float64 {
-	room := t.rows[key{service: name, centre: centreName}].room
+	room := t.roomOf(name, centreName)
 	return max(0, lentFill*effectiveRoom(room)-t.callersDemand(name, centreName))
 }
 
@@ -80,10 +80,10 @@
 			others += t.lack(name, other, out)
 		}
 	}
-	if others > 0 {
-		own = slices.Min(t.service(name).lacks[:])
+	if s := t.service(name); others > 0 && !s.homeless {
+		own = slices.Min(s.lacks[:])
 	}
-	room := t.rows[key{service: name, centre: of}].room
+	room := t.roomOf(name, of)
 	hidden := room.Demand - t.totalDemand(name, of, now) - hiddenTolerance*room.Room
 	if hidden > 0 {
 		free /= 2
@@ -95,16 +95,16 @@
 // room.
 func (t *Table) lack(name zf.ServiceName, centreName zf.CentreName, out []zf.CentreName) float64 {
 	demand := t.callersDemand(name, centreName)
-	r := t.rows[key{service: name, centre: centreName}]
+	room := t.roomOf(name, centreName)
 	switch {
-	case r == nil || r.room.Service == "":
+	case room.Service == "":
 		return 0
-	case r.room.Servers == 0 || slices.Contains(out, centreName):
+	case room.Servers == 0 || slices.Contains(out, centreName):
 		return demand
-	case r.room.Room <= 0:
+	case room.Room <= 0:
 		return 0
 	}
-	return max(0, demand-pressedFill*effectiveRoom(r.room))
+	return max(0, demand-pressedFill*effectiveRoom(room))
 }
 
 // divideExcess sets the targets to the flows that gain by leaving: as many as raise the
--- a/core/zfdeparture/table.go
+++ b/core/zfdeparture/table.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -46,9 +45,8 @@
 
 // row holds the figures of one service in one data centre.
 type row struct {
-	// room is as the data centre reported it, measured at measuredAt.
-	room       zf.ServiceRoom
-	measuredAt time.Time
+	// room is as the data centre reported it.
+	room zf.ServiceRoom
 	// demand is the number of requests a second, by the data centre of their callers.
 	demand map[zf.CentreName]float64
 	// share is the share of the own data centre's new flows that goes to this one.
@@ -59,6 +57,8 @@
 type centre struct {
 	// measuredAt is when its last figures were measured.
 	measuredAt time.Time
+	// reported are the rows that they belong to.
+	reported []key
 	// delay is the round trip to it, or 0 if that is not known.
 	delay time.Duration
 }
@@ -73,8 +73,10 @@
 	firstTick    time.Time
 	lastDecision time.Time
 	decider      decider
-	departures   []zf.Departure
-	changes      []Change
+	// figures and departures are those of the last decision.
+	figures    []zf.ServiceRoom
+	departures []zf.Departure
+	changes    []Change
 }
 
 // decider holds the last decisions of another control instance of the own data centre.
@@ -93,7 +95,8 @@
 	}
 }
 
-func (t *Table) row(service zf.ServiceName, centre zf.CentreName) *row {
+// row returns a row, which it adds if needed, and its key.
+func (t *Table) row(service zf.ServiceName, centre zf.CentreName) (*row, key) {
 	k := key{
 		service: service,
 		centre:  centre,
@@ -105,7 +108,23 @@
 		}
 		t.rows[k] = r
 	}
-	return r
+	return r, k
+}
+
+// find returns a row, or nil.
+func (t *Table) find(service zf.ServiceName, centre zf.CentreName) *row {
+	return t.rows[key{
+		service: service,
+		centre:  centre,
+	}]
+}
+
+// roomOf returns the room of a row, or the zero value.
+func (t *Table) roomOf(service zf.ServiceName, centre zf.CentreName) zf.ServiceRoom {
+	if r := t.find(service, centre); r != nil {
+		return r.room
+	}
+	return zf.ServiceRoom{}
 }
 
 func (t *Table) centre(name zf.CentreName) *centre {
@@ -133,15 +152,16 @@
 		return
 	}
 	c.measuredAt = measuredAt
-	for k, r := range t.rows {
-		delete(r.demand, from)
-		if k.centre == from {
-			r.room = zf.ServiceRoom{}
+	for _, k := range c.reported {
+		if r := t.rows[k]; r != nil {
+			r.forget(k, from)
 		}
 	}
+	c.reported = c.reported[:0]
 	for _, figure := range figures {
 		t.centre(figure.Centre)
-		r := t.row(figure.Service, figure.Centre)
+		r, k := t.row(figure.Service, figure.Centre)
+		c.reported = append(c.reported, k)
 		if figure.Centre != from {
 			r.demand[from] = nonNegative(figure.Demand)
 			continue
@@ -149,17 +169,20 @@
 		r.room = figure
 		r.room.Room = nonNegative(figure.Room)
 		r.demand[from] = nonNegative(figure.Own)
-		r.measuredAt = measuredAt
-	}
-	if from == t.config.Self {
-		for k, r := range t.rows {
-			if k.centre == from {
-				r.room.Demand = t.totalDemand(k.service, from, now)
-			}
+		if from == t.config.Self {
+			r.room.Demand = t.totalDemand(figure.Service, from, now)
 		}
 	}
 }
 
+// forget removes what a data centre reported of a row.
+func (r *row) forget(k key, from zf.CentreName) {
+	delete(r.demand, from)
+	if k.centre == from {
+		r.room = zf.ServiceRoom{}
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -212,7 +235,7 @@
 func (t *Table) callersDemand(service zf.ServiceName, from zf.CentreName) float64 {
 	sum := 0.0
 	for name := range t.centres {
-		if r := t.rows[key{service: service, centre: name}]; r != nil {
+		if r := t.find(service, name); r != nil {
 			sum += r.demand[from]
 		}
 	}
@@ -222,7 +245,7 @@
 // totalDemand returns the requests a second to a data centre from all whose figures are
 // fresh.
 func (t *Table) totalDemand(service zf.ServiceName, to zf.CentreName, now time.Time) float64 {
-	r := t.rows[key{service: service, centre: to}]
+	r := t.find(service, to)
 	if r == nil {
 		return 0
 	}
@@ -241,29 +264,31 @@
 	return !t.firstTick.IsZero() && now.Sub(t.firstTick) >= figureTimeout
 }
 
-// Figures returns the figures of the own data centre for control instances of others, of
-// the services with traffic in any data centre.
+// Figures returns the figures of the own data centre for control instances of others, as
+// of the last decision: those of the services with traffic in any data centre.
 func (t *Table) Figures(now time.Time) []zf.ServiceRoom {
+	figures := slices.Clone(t.figures)
+	for i := range figures {
+		figures[i].Age = now.Sub(t.centre(t.config.Self).measuredAt)
+	}
+	return figures
+}
+
+func (t *Table) listFigures(now time.Time) []zf.ServiceRoom {
 	if !t.reports(now) || !t.fresh(t.config.Self, now) {
 		return nil
 	}
 	var figures []zf.ServiceRoom
-	for _, k := range t.sortedKeys() {
-		r := t.rows[k]
-		age := now.Sub(t.centre(t.config.Self).measuredAt)
-		switch sent := r.demand[t.config.Self]; {
-		case k.centre == t.config.Self:
-			figure := t.serviceRoom(k, now)
-			if t.hasTraffic(k.service) {
-				figures = append(figures, rounded(figure))
-			}
-		case sent > 0:
+	for _, k := range t.sortedKeys(func(r *row) bool { return r.demand[t.config.Self] > 0 || r.room.Centre == t.config.Self }) {
+		switch sent := t.rows[k].demand[t.config.Self]; {
+		case k.centre != t.config.Self:
 			figures = append(figures, rounded(zf.ServiceRoom{
 				Service: k.service,
 				Centre:  k.centre,
 				Demand:  sent,
-				Age:     age,
 			}))
+		case t.hasTraffic(k.service):
+			figures = append(figures, rounded(t.serviceRoom(k, now)))
 		}
 	}
 	return figures
@@ -281,10 +306,8 @@
 // ServiceRooms returns the rooms in all data centres whose figures are fresh.
 func (t *Table) ServiceRooms(now time.Time) []zf.ServiceRoom {
 	var rooms []zf.ServiceRoom
-	for _, k := range t.sortedKeys() {
-		if t.fresh(k.centre, now) && t.rows[k].room.Service != "" {
-			rooms = append(rooms, t.serviceRoom(k, now))
-		}
+	for _, k := range t.sortedKeys(func(r *row) bool { return r.room.Service != "" && t.fresh(r.room.Centre, now) }) {
+		rooms = append(rooms, t.serviceRoom(k, now))
 	}
 	return rooms
 }
@@ -301,10 +324,18 @@
 	return room
 }
 
-func (t *Table) sortedKeys() []key {
-	return slices.SortedFunc(maps.Keys(t.rows), func(a, b key) int {
+// sortedKeys returns the keys of some rows, by service and data centre.
+func (t *Table) sortedKeys(has func(r *row) bool) []key {
+	var keys []key
+	for k, r := range t.rows {
+		if has(r) {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b key) int {
 		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.centre, b.centre))
 	})
+	return keys
 }
 
 // The resolutions of figures in messages; shorter numbers make shorter messages.
@@ -318,7 +349,6 @@
 	figure.Demand = math.Round(figure.Demand/rateResolution) * rateResolution
 	figure.Own = math.Round(figure.Own/rateResolution) * rateResolution
 	figure.Wait = figure.Wait.Round(waitResolution)
-	figure.Age = figure.Age.Round(time.Millisecond)
 	return figure
 }
 
@@ -329,12 +359,12 @@
 			continue
 		}
 		c.measuredAt = time.Time{}
-		for k, r := range t.rows {
-			delete(r.demand, name)
-			if k.centre == name {
-				r.room = zf.ServiceRoom{}
+		for _, k := range c.reported {
+			if r := t.rows[k]; r != nil {
+				r.forget(k, name)
 			}
 		}
+		c.reported = nil
 	}
 	for k, r := range t.rows {
 		if r.room.Service == "" && len(r.demand) == 0 && r.share == 0 {
