Decide nothing and tell nothing on incomplete sums

Cause: a control instance that has just started, or was suspended, has a part of the backend servers and of the requests: it could take its data centre for one without backend servers, or tell others of room that its callers use. Change: for 3 s after either it decides nothing and tells no figures; a negative age counts as none. Result: TestSuspension fails without the change to Tick (all leave at once) and passes with it.

--- a/core/zfdeparture/decide.go
+++ b/core/zfdeparture/decide.go
@@ -13,6 +13,9 @@
 const (
 	// decisionInterval is the time between two decisions.
 	decisionInterval = 500 * time.Millisecond
+	// maxDecisionGap is the time between two decisions from which this instance is
+	// considered to have been suspended: its sums lack what was not reported meanwhile.
+	maxDecisionGap = 2 * time.Second
 	// deciderTimeout is the silence after which the decisions of another control instance
 	// of the own data centre no longer count.
 	deciderTimeout = 1500 * time.Millisecond
@@ -79,12 +82,12 @@
 // Tick runs the system: with the figures of the own data centre it decides where the new
 // flows of its callers go. out holds the data centres taken out of service.
 func (t *Table) Tick(now time.Time, figures []zf.ServiceRoom, out []zf.CentreName) {
-	if t.firstTick.IsZero() {
-		t.firstTick = now
-	}
 	if now.Sub(t.lastDecision) < decisionInterval {
 		return
 	}
+	if now.Sub(t.lastDecision) >= maxDecisionGap {
+		t.startedAt = now
+	}
 	t.lastDecision = now
 	t.Record(t.config.Self, figures, now)
 	t.expire(now)
@@ -95,7 +98,7 @@
 	follows := t.follows(now)
 	for _, name := range t.serviceNames() {
 		t.observe(name, out)
-		if !follows {
+		if !follows && t.reports(now) {
 			t.decide(name, out, now)
 		}
 	}
--- a/core/zfdeparture/table.go
+++ b/core/zfdeparture/table.go
@@ -69,8 +69,9 @@
 	rows     map[key]*row
 	centres  map[zf.CentreName]*centre
 	services map[zf.ServiceName]*service
-	// firstTick and lastDecision are when the system first ran and last decided.
-	firstTick    time.Time
+	// startedAt is when the system first ran, or went on after a suspension. lastDecision
+	// is when it last decided.
+	startedAt    time.Time
 	lastDecision time.Time
 	decider      decider
 	// figures and departures are those of the last decision.
@@ -143,10 +144,11 @@
 	if len(figures) == 0 || from == "" {
 		return
 	}
-	measuredAt := now.Add(-figures[0].Age)
+	age := time.Duration(0)
 	for _, figure := range figures {
-		measuredAt = earlier(measuredAt, now.Add(-figure.Age))
+		age = max(age, figure.Age)
 	}
+	measuredAt := now.Add(-age)
 	c := t.centre(from)
 	if measuredAt.Before(c.measuredAt) {
 		return
@@ -183,13 +185,6 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // nonNegative returns x, or 0 if it is negative or not a number.
 func nonNegative(x float64) float64 {
 	if x > 0 && !math.IsInf(x, 1) {
@@ -259,9 +254,9 @@
 }
 
 // reports reports whether this instance's figures are complete: entry instances have
-// had the time to report theirs since the start.
+// had the time to report theirs since the start or a suspension.
 func (t *Table) reports(now time.Time) bool {
-	return !t.firstTick.IsZero() && now.Sub(t.firstTick) >= figureTimeout
+	return !t.startedAt.IsZero() && now.Sub(t.startedAt) >= figureTimeout
 }
 
 // Figures returns the figures of the own data centre for control instances of others, as
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -302,6 +302,20 @@
 	})
 }
 
+func TestSuspension(t *testing.T) {
+	x := newExchange(price, 0.6, 0.3)
+	x.run(settle, nil)
+	x.now = x.now.Add(4 * time.Second)
+	home := x.sites[0]
+	home.servers = 0
+	x.run(2*time.Second, func() {
+		zfassert.Equal(t, "figures", len(home.table.Figures(x.now)), 0)
+		assertLeaving(t, home, 0, 0)
+	})
+	x.run(4*time.Second, nil)
+	assertLeaving(t, home, 0.99, 1)
+}
+
 func TestDeciderDies(t *testing.T) {
 	x := newExchange(price, 1.5, 0.3)
 	decider := x.sites[0]
