--- a/core/zfdeparture/decide.go
+++ b/core/zfdeparture/decide.go
@@ -98,7 +98,7 @@
 	follows := t.follows(now)
 	for _, name := range t.serviceNames() {
 		t.observe(name, out)
-		if !follows && t.reports(now) {
+		if !follows && t.complete(now) {
 			t.decide(name, out, now)
 		}
 	}
@@ -111,7 +111,7 @@
 
 // Follow records the decisions of another control instance of the own data centre.
 func (t *Table) Follow(source uint64, departures []zf.Departure, now time.Time) {
-	if source > t.config.Source && t.reports(now) {
+	if source > t.config.Source && t.complete(now) {
 		return
 	}
 	t.decider = decider{
@@ -127,7 +127,7 @@
 
 // Decides reports whether this control instance's decisions are its own and complete.
 func (t *Table) Decides(now time.Time) bool {
-	return t.config.Leave && t.reports(now) && !t.follows(now)
+	return t.config.Leave && t.complete(now) && !t.follows(now)
 }
 
 // adopt takes the shares of the control instance that decides.
--- a/core/zfdeparture/table.go
+++ b/core/zfdeparture/table.go
@@ -261,9 +261,9 @@
 	return sum
 }
 
-// reports reports whether this instance's figures are complete: entry instances have
+// complete reports whether this instance's figures are complete: entry instances have
 // had the time to report theirs since the start or a suspension.
-func (t *Table) reports(now time.Time) bool {
+func (t *Table) complete(now time.Time) bool {
 	return !t.startedAt.IsZero() && now.Sub(t.startedAt) >= figureTimeout
 }
 
@@ -278,7 +278,7 @@
 }
 
 func (t *Table) listFigures(now time.Time) []zf.ServiceRoom {
-	if !t.reports(now) || !t.fresh(t.config.Self, now) {
+	if !t.complete(now) || !t.fresh(t.config.Self, now) {
 		return nil
 	}
 	var figures []zf.ServiceRoom
