Follow a sudden load by its growth

Cause: demand is counted over 3 s, so that a load of 7.5 times the former one was borne only after 11 s: at 4 s the data centre still had 1.17 of its room. Change: while counted demand grows by more than noise may, the excess is that of the demand that it tends to.

--- a/core/zfdeparture/decide.go
+++ b/core/zfdeparture/decide.go
@@ -43,6 +43,8 @@
 	// slopeDecisions is the number of decisions over which the growth of the demand is
 	// measured.
 	slopeDecisions = 2
+	// demandNoise is the growth of the demand, relative to it, that may be noise.
+	demandNoise = 0.15
 	// riseDecisions is the number of decisions, at least, in which the data centres
 	// together use up the free room of another. It exceeds newsDecisions, so that each
 	// sees what the others send in time; more so if the figures of one are old, as what
@@ -200,16 +202,22 @@
 		divideAll(destinations)
 	case home.Room > 0:
 		home.Wait = s.wait
-		divideExcess(destinations, home, demand, s.actualDemand())
+		divideExcess(destinations, home, s.certainDemand(), s.actualDemand())
 	}
 	s.update(destinations, s.actualDemand())
 }
 
-// actualDemand returns the demand now while it grows, as the counted demand follows it
-// with a delay of zfload.CountTime.
+// actualDemand returns the demand now while it grows, as the counted demand approaches it
+// with the time constant zfload.CountTime.
 func (s *service) actualDemand() float64 {
-	slope := (s.demands[0] - s.demands[slopeDecisions]) / (slopeDecisions * decisionInterval).Seconds()
-	return s.demands[0] + max(0, slope)*zfload.CountTime.Seconds()
+	const window = slopeDecisions * decisionInterval
+	growth := s.demands[0] - s.demands[slopeDecisions]
+	return s.demands[0] + max(0, growth)/(math.Exp(window.Seconds()/zfload.CountTime.Seconds())-1)
+}
+
+// certainDemand returns the part of the actual demand that is more than noise.
+func (s *service) certainDemand() float64 {
+	return max(s.demands[0], s.actualDemand()-demandNoise*s.demands[0])
 }
 
 // homelessShare is the sum of the shares below which all flows of a data centre without
--- a/core/zfdeparture/destination.go
+++ b/core/zfdeparture/destination.go
@@ -108,8 +108,9 @@
 }
 
 // divideExcess sets the targets to the flows that gain by leaving: as many as raise the
-// own wait above the cost elsewhere, within the claims at the actual demand.
-func divideExcess(destinations []destination, home zf.ServiceRoom, demand, actual float64) {
+// own wait above the cost elsewhere, by the certain demand, within the claims at the actual
+// one.
+func divideExcess(destinations []destination, home zf.ServiceRoom, certain, actual float64) {
 	room := effectiveRoom(home)
 	claims := 0.0
 	for _, d := range destinations {
@@ -120,8 +121,8 @@
 		if d.claim <= 0 {
 			continue
 		}
-		excess := demand - room*max(pressedFill, fillOf(spacing(home), d.cost))
-		d.target = min(d.claim/actual, max(0, excess)*d.claim/claims/demand)
+		excess := certain - room*max(pressedFill, fillOf(spacing(home), d.cost))
+		d.target = min(d.claim/actual, max(0, excess)*d.claim/claims/certain)
 		if sent := d.row.demand[home.Centre]; sent > d.claim {
 			d.target *= d.claim / sent // Flows that went there before still send requests.
 		}
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -30,6 +30,13 @@
 			assertBears(t, x, i, settle, 0.75)
 		}
 	})
+	t.Run("a sudden load is borne within 4 s", func(t *testing.T) {
+		x := newExchange(price, 0.2, 0.2, 0.2, 0.2)
+		x.run(settle, nil)
+		x.sites[0].demand = 1500
+		x.run(4*time.Second, nil)
+		assertBears(t, x, 0, settle, 1)
+	})
 	t.Run("nobody leaves where all are at 1.5 times their room", func(t *testing.T) {
 		x := newExchange(price, 1.5, 1.5, 1.5, 1.5)
 		x.run(settle, func() { assertNobodyLeaves(t, x) })
