--- a/value.go
+++ b/value.go
@@ -267,6 +267,8 @@
 	// they get from callers of all data centres.
 	Room   float64
 	Demand float64
+	// Own is the part of Demand that callers of the same data centre send.
+	Own float64
 	// Wait is the expected wait of a request for a slot.
 	Wait time.Duration
 	// Bytes is the mean size of an answer.
@@ -293,6 +295,15 @@
 	Away time.Duration
 }
 
+// Share returns the share of new flows that leave.
+func (d Departure) Share() float64 {
+	sum := 0.0
+	for _, to := range d.To {
+		sum += to.Share
+	}
+	return sum
+}
+
 // AdmissionLimit is the decision that some of a service's new flows are turned away, as
 // no data centre has room for them.
 type AdmissionLimit struct {
