Pass over backend servers and data centres whose openings lead nowhere

Change: zfcookie records openings and next packets, consults zfopening where it selects a backend server, and reports openings in its loads, if Config.Openings is set: with the setting load.placement wait. If all are passed over, the least suspect is used. Verdicts on packets of open flows are the same with and without it (rapid, 3,000 runs).

--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -14,12 +14,16 @@
 	"github.com/zeebo/xxh3"
 
 	zf "zinniafront"
+	"zinniafront/core/zfopening"
 )
 
 // Config configures a mapper.
 type Config struct {
 	// Seed is the seed of the hash that spreads flows over backend servers.
 	Seed uint64
+	// Openings is set if backend servers and data centres that don't open new flows are
+	// inferred from opening packets.
+	Openings bool
 }
 
 // Mapper implements zinniafront.Mapper and zinniafront.Observer.
@@ -27,6 +31,10 @@
 	config   Config
 	current  atomic.Pointer[snapshot]
 	requests requestTable
+	// openings is nil unless Config.Openings is set. verdicts holds its changes that have
+	// not been taken; it belongs to the control goroutine.
+	openings *zfopening.Table
+	verdicts []zf.OpeningVerdict
 	// stats holds the statistics of each backend server. The map belongs to the control
 	// goroutine.
 	stats map[zf.ServerIncarnation]*serverStats
@@ -162,12 +170,16 @@
 
 // New returns a mapper without routes and backend servers.
 func New(config Config) *Mapper {
-	return &Mapper{
+	m := &Mapper{
 		config: config,
 		stats:  make(map[zf.ServerIncarnation]*serverStats),
 
 		centres: make(map[zf.CentreName]*centreStats),
 	}
+	if config.Openings {
+		m.openings = zfopening.New()
+	}
+	return m
 }
 
 // CookieOf returns the cookie of one incarnation of a backend server.
@@ -207,6 +219,7 @@
 		}
 		m.endFlows(now)
 		m.detectUnresponsiveCentres(now)
+		m.tickOpenings(now)
 	}
 	if view.RoutesKnown && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
@@ -272,6 +285,7 @@
 		next.addresses = append(next.addresses, r.Address)
 	}
 	next.recordRemoved(m.current.Load(), now)
+	m.setColdCentres(view.Servers)
 	m.stats = stats
 	m.current.Store(next)
 }
@@ -323,6 +337,9 @@
 			number: row.Number,
 			centre: m.centreOf(row.Centre),
 		}
+		if m.openings != nil {
+			stats.opening = m.openings.Centre(row.Centre).NewServer()
+		}
 	}
 	next[incarnation] = stats
 	return &server{
@@ -370,11 +387,15 @@
 func (m *Mapper) Loads() []zf.ServerLoad {
 	var loads []zf.ServerLoad
 	for incarnation, s := range m.stats {
-		if requests := s.unreported.Swap(0); requests > 0 {
-			loads = append(loads, zf.ServerLoad{
-				Cookie:   CookieOf(incarnation.Server, incarnation.Born()),
-				Requests: int(requests),
-			})
+		load := zf.ServerLoad{
+			Requests: int(s.unreported.Swap(0)),
+		}
+		if s.opening != nil {
+			load.Opened, load.Unopened = s.opening.Take()
+		}
+		if load != (zf.ServerLoad{}) {
+			load.Cookie = CookieOf(incarnation.Server, incarnation.Born())
+			loads = append(loads, load)
 		}
 	}
 	return loads
@@ -389,6 +410,7 @@
 	for incarnation, s := range m.stats {
 		s.setTotal(requests[CookieOf(incarnation.Server, incarnation.Born())])
 	}
+	m.setOpeningSums(loads, now)
 	m.totalsUpdated = now
 	m.totalsKnown.Store(true)
 }
--- a/core/zfcookie/mapper_test.go
+++ b/core/zfcookie/mapper_test.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// rows returns the rows of n backend servers of one service and data centre.
+func rows(n uint64) []zf.ServerView {
+	servers := make([]zf.ServerView, 0, n)
+	for number := range n {
+		servers = append(servers, row(number+1, "orders", "one"))
+	}
+	return servers
+}
+
 func view(servers ...zf.ServerView) zf.View {
 	return zf.View{
 		Self:        "e1",
@@ -258,10 +267,7 @@
 }
 
 func BenchmarkRoute(b *testing.B) {
-	servers := make([]zf.ServerView, 0, 150)
-	for n := range uint64(150) {
-		servers = append(servers, row(n+1, "orders", "one"))
-	}
+	servers := rows(150)
 	packets := make([]zf.Packet, 0, 4096)
 	for n := range 4096 {
 		packets = append(packets, data(n, zfcookie.CookieOf(servers[n%150].Name, start), uint32(n)))
--- /dev/null
+++ b/core/zfcookie/opening_test.go
@@ -0,0 +1,400 @@
+package zfcookie_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	zf "zinniafront"
+	"zinniafront/core/zfcookie"
+	"zinniafront/lab/zfassert"
+)
+
+// newOpeningMapper returns a mapper that takes evidence from openings.
+func newOpeningMapper(v zf.View) *zfcookie.Mapper {
+	mapper := zfcookie.New(zfcookie.Config{
+		Seed:     1,
+		Openings: true,
+	})
+	mapper.Tick(start, v)
+	return mapper
+}
+
+// openingLoad replays the load of an instance to which callers open a new flow each
+// pause. A caller that meets a closed port tries again from another port, three times in
+// all; an opening packet that is lost is sent again.
+type openingLoad struct {
+	view  zf.View
+	pause time.Duration
+	// closed reports whether the port of a backend server is closed, silent whether the
+	// backend server ignores opening packets. Nil means never.
+	closed func(server zf.ServerView, at time.Duration) bool
+	silent func(server zf.ServerView, at time.Duration) bool
+	// address returns the number of the address of the n-th caller; nil means that each
+	// caller has its own.
+	address func(n int) int
+	// answer is the time that an answer takes; default 30 ms.
+	answer time.Duration
+	// suspended reports whether the control goroutine and the traffic stand still.
+	suspended func(at time.Duration) bool
+	// retriesElsewhere has all retries go to other instances.
+	retriesElsewhere bool
+}
+
+// openingResult is what callers saw of an openingLoad.
+type openingResult struct {
+	// refused counts the openings that met a closed port by backend server, opened those
+	// that opened.
+	refused map[uint64]int
+	opened  map[uint64]int
+	// sent holds the openings to data centre one of each 100 ms, all those to anywhere.
+	sent []int
+	all  []int
+	// failed counts callers whose three tries failed, reset openings answered with a reset.
+	failed   int
+	reset    int
+	verdicts []zf.OpeningVerdict
+}
+
+// openingRoundTrip is the round trip between a caller and a backend server, retryDelay the
+// time from a try that met a closed port to the next one.
+const (
+	openingRoundTrip = 4 * time.Millisecond
+	retryDelay       = 6 * time.Millisecond
+)
+
+// openingPlay is an openingLoad that is being replayed.
+type openingPlay struct {
+	openingLoad
+	mapper *zfcookie.Mapper
+	later  map[time.Duration][]func()
+	at     time.Duration
+	port   int
+	result openingResult
+}
+
+// run replays the load for some time.
+func (l openingLoad) run(d time.Duration) openingResult {
+	p := &openingPlay{
+		openingLoad: l,
+		mapper:      newOpeningMapper(l.view),
+		later:       make(map[time.Duration][]func()),
+		result: openingResult{
+			refused: make(map[uint64]int),
+			opened:  make(map[uint64]int),
+			sent:    make([]int, d/(100*time.Millisecond)),
+			all:     make([]int, d/(100*time.Millisecond)),
+		},
+	}
+	if p.answer == 0 {
+		p.answer = 30 * time.Millisecond
+	}
+	var waiting []func()
+	for ; p.at < d; p.at += time.Millisecond {
+		if p.at%p.pause == 0 {
+			caller := int(p.at / p.pause)
+			waiting = append(waiting, func() { p.open(caller, 1) })
+		}
+		waiting = append(waiting, p.later[p.at]...)
+		if p.suspended != nil && p.suspended(p.at) {
+			continue
+		}
+		for _, arrive := range waiting {
+			arrive()
+		}
+		waiting = nil
+		if p.at%(100*time.Millisecond) == 0 {
+			p.mapper.Tick(start.Add(p.at), p.view)
+			p.result.verdicts = append(p.result.verdicts, p.mapper.OpeningVerdicts()...)
+		}
+	}
+	return p.result
+}
+
+func (p *openingPlay) after(d time.Duration, arrive func()) {
+	p.later[p.at+d] = append(p.later[p.at+d], arrive)
+}
+
+// open sends the opening packet of a caller's next try.
+func (p *openingPlay) open(caller, try int) {
+	p.port++
+	address := caller
+	if p.address != nil {
+		address = p.address(caller)
+	}
+	p.send(openingOf(address, p.port), caller, try)
+}
+
+// openingOf returns the opening packet of the caller with the n-th address.
+func openingOf(n, port int) zf.Packet {
+	packet := opening(port, 0)
+	packet.Flow.Source = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 65, byte(n >> 8), byte(n)}), uint16(port))
+	return packet
+}
+
+func (p *openingPlay) send(packet zf.Packet, caller, try int) {
+	verdict := p.mapper.Route(packet, start.Add(p.at))
+	if verdict.Action != zf.ActionForward {
+		p.result.reset++
+		return
+	}
+	server := p.view.Servers[verdict.Number-1]
+	p.result.all[p.at/(100*time.Millisecond)]++
+	if server.Centre == "one" {
+		p.result.sent[p.at/(100*time.Millisecond)]++
+	}
+	switch {
+	case p.closed != nil && p.closed(server, p.at):
+		p.result.refused[server.Number]++
+		switch {
+		case p.retriesElsewhere:
+		case try == 3:
+			p.result.failed++
+		default:
+			p.after(retryDelay, func() { p.open(caller, try+1) })
+		}
+	case p.silent != nil && p.silent(server, p.at):
+		if packet.Retransmissions < 2 {
+			packet.Retransmissions++
+			p.after(retransmissionDelays[packet.Retransmissions-1], func() { p.send(packet, caller, try) })
+		}
+	default:
+		p.result.opened[server.Number]++
+		request := zf.Packet{
+			Flow:        packet.Flow,
+			Cookie:      verdict.Cookie,
+			Sequence:    1,
+			PayloadSize: 100,
+		}
+		handshake := request
+		handshake.PayloadSize = 0
+		p.after(openingRoundTrip, func() {
+			p.mapper.Route(handshake, start.Add(p.at))
+			p.mapper.Route(request, start.Add(p.at))
+		})
+		p.after(openingRoundTrip+p.answer, func() { p.mapper.Route(acknowledgementOf(request), start.Add(p.at)) })
+	}
+}
+
+// between reports whether at is in an outage from its start on.
+func between(at, from, d time.Duration) bool { return at >= from && at < from+d }
+
+// closedCentre returns a function that has the ports of a data centre closed for some time.
+func closedCentre(name zf.CentreName, from, d time.Duration) func(zf.ServerView, time.Duration) bool {
+	return func(server zf.ServerView, at time.Duration) bool {
+		return server.Centre == name && between(at, from, d)
+	}
+}
+
+func sum(counts map[uint64]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+const (
+	// learning is the time before an outage, in which the instance learns the round trip.
+	learning = time.Second
+	// refusalBound is the number of openings that show that a data centre refuses: three
+	// backend servers, of which each may get those of two callers.
+	refusalBound = 3 * 2
+	// openingTimeout is the minimum time after which an opening counts as unopened.
+	openingTimeout = 20 * time.Millisecond
+	// probesPerSecond are those of a data centre that refuses.
+	probesPerSecond = 4
+)
+
+func TestDeadCentre(t *testing.T) {
+	const pause = 10 * time.Millisecond
+	for _, outage := range []time.Duration{time.Second, 3 * time.Second} {
+		closed := closedCentre("one", learning, outage)
+		bound := refusalBound + int(openingTimeout/pause) + 1 + probesPerSecond*int(outage/time.Second)
+		t.Run("it answers with resets for "+outage.String()+", and retries arrive here", func(t *testing.T) {
+			result := openingLoad{
+				view:   centreView(false),
+				pause:  pause,
+				closed: closed,
+			}.run(learning + outage + 4*time.Second)
+			zfassert.AtMost(t, "openings that met a closed port", float64(sum(result.refused)), float64(bound))
+			zfassert.Equal(t, "callers whose three tries failed", result.failed, 0)
+			last, first := len(result.sent)-1, int((learning+outage)/(100*time.Millisecond))
+			zfassert.Equal(t, "openings at home after the return", result.sent[last], result.all[last])
+			zfassert.True(t, "the return begins with a part", result.sent[first]+result.sent[first+1] <= (result.all[first]+result.all[first+1])/2)
+		})
+		t.Run("it answers with resets for "+outage.String()+", and retries arrive elsewhere", func(t *testing.T) {
+			result := openingLoad{
+				view:             centreView(false),
+				pause:            pause,
+				closed:           closed,
+				retriesElsewhere: true,
+			}.run(learning + outage)
+			zfassert.AtMost(t, "openings that met a closed port", float64(sum(result.refused)), float64(bound))
+		})
+		t.Run("it is silent for "+outage.String(), func(t *testing.T) {
+			result := openingLoad{
+				view:   centreView(false),
+				pause:  pause,
+				silent: closed,
+			}.run(learning + outage)
+			home := 0
+			for _, n := range result.sent[learning/(100*time.Millisecond):] {
+				home += n
+			}
+			zfassert.AtMost(t, "openings sent there", float64(home), float64(bound))
+		})
+	}
+	t.Run("all data centres are dead", func(t *testing.T) {
+		dead := func(_ zf.ServerView, at time.Duration) bool { return between(at, learning, 3*time.Second) }
+		result := openingLoad{
+			view:   centreView(false),
+			pause:  pause,
+			closed: dead,
+		}.run(learning + 8*time.Second)
+		zfassert.Equal(t, "openings answered with a reset", result.reset, 0)
+		busiest := 0
+		for _, n := range result.refused {
+			busiest = max(busiest, n)
+		}
+		zfassert.AtMost(t, "busiest over mean", float64(busiest*len(result.refused))/float64(sum(result.refused)), 1.5)
+		last := len(result.sent) - 1
+		zfassert.Equal(t, "openings at home after the return", result.sent[last], result.all[last])
+	})
+}
+
+func TestDeadServers(t *testing.T) {
+	thirty := rows(30)
+	t.Run("one dead backend server among thirty", func(t *testing.T) {
+		dead := func(server zf.ServerView, at time.Duration) bool { return server.Number == 7 && at >= learning }
+		result := openingLoad{
+			view:   view(thirty...),
+			pause:  4 * time.Millisecond,
+			closed: dead,
+		}.run(learning + 3*time.Second)
+		// Openings of two callers, one more while they are pending, and two probes a second.
+		zfassert.AtMost(t, "openings that met a closed port", float64(sum(result.refused)), 2+1+3*2)
+		zfassert.Equal(t, "callers whose three tries failed", result.failed, 0)
+	})
+	t.Run("flapping ones get flows only while they are up", func(t *testing.T) {
+		const flap = 1400 * time.Millisecond
+		down := func(server zf.ServerView, at time.Duration) bool {
+			return server.Number <= 3 && at >= learning && (at-learning)/flap%2 == 0
+		}
+		result := openingLoad{
+			view:   view(thirty[:10]...),
+			pause:  10 * time.Millisecond,
+			closed: down,
+		}.run(learning + 6*flap)
+		for number := uint64(1); number <= 3; number++ {
+			// As above, in each of the three times that it is down.
+			zfassert.AtMost(t, "openings that met a closed port", float64(result.refused[number]), 3*(2+1+3))
+			zfassert.True(t, "flows while it is up", result.opened[number] > result.opened[10]/4)
+		}
+		zfassert.Equal(t, "callers whose three tries failed", result.failed, 0)
+	})
+}
+
+func TestNoEvidence(t *testing.T) {
+	for name, load := range map[string]openingLoad{
+		"one lost packet": {silent: func(_ zf.ServerView, at time.Duration) bool { return at == learning }},
+		"one caller goes away with ten flows": {
+			address:          func(n int) int { return n - max(0, min(n, 109)-100) },
+			closed:           func(_ zf.ServerView, at time.Duration) bool { return between(at, learning, 100*time.Millisecond) },
+			retriesElsewhere: true,
+		},
+		"many callers behind one address, of whom each tenth goes away": {
+			address:          func(int) int { return 1 },
+			closed:           func(_ zf.ServerView, at time.Duration) bool { return at%(100*time.Millisecond) == 0 },
+			retriesElsewhere: true,
+		},
+		"an instance that is cut off":                {closed: func(_ zf.ServerView, at time.Duration) bool { return at >= learning }},
+		"a suspended instance":                       {suspended: func(at time.Duration) bool { return between(at, learning, 2*time.Second) }},
+		"answers take 0.9 s, but handshakes succeed": {answer: 900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load.view, load.pause = centreView(false), 10*time.Millisecond
+			result := load.run(learning + 4*time.Second)
+			zfassert.Equal(t, "verdicts", len(result.verdicts), 0)
+		})
+	}
+}
+
+func TestOpeningReports(t *testing.T) {
+	mapper := newOpeningMapper(view(row(1, "orders", "one")))
+	cookie := mapper.Route(opening(1, 0), start).Cookie
+	mapper.Route(data(1, cookie, 1), start.Add(openingRoundTrip))
+	mapper.Route(opening(2, 0), start.Add(openingRoundTrip))
+	mapper.Tick(start.Add(400*time.Millisecond), view(row(1, "orders", "one")))
+	zfassert.Equal(t, "loads", mapper.Loads(), []zf.ServerLoad{{
+		Cookie:   cookie,
+		Requests: 1,
+		Opened:   1,
+		Unopened: 1,
+	}})
+}
+
+// TestOpenFlows checks that evidence from openings changes no verdict on open flows.
+func TestOpenFlows(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		late := rapid.Bool().Draw(rt, "late")
+		v := centreView(late)
+		with, without := newOpeningMapper(v), newMapper(v)
+		now := start
+		for range rapid.IntRange(1, 200).Draw(rt, "packets") {
+			port := rapid.IntRange(1, 12).Draw(rt, "port")
+			server := v.Servers[rapid.IntRange(0, len(v.Servers)-1).Draw(rt, "server")]
+			packet := data(port, zfcookie.CookieOf(server.Name, start), uint32(rapid.IntRange(1, 3).Draw(rt, "sequence")))
+			switch rapid.IntRange(0, 5).Draw(rt, "kind") {
+			case 0:
+				// Copies of opening packets show what their backend servers, which may
+				// differ, left unanswered; that ends flows only where heartbeats are late.
+				copies := 0
+				if !late {
+					copies = rapid.IntRange(0, 2).Draw(rt, "copies")
+				}
+				with.Route(opening(port, copies), now)
+				without.Route(opening(port, copies), now)
+				continue
+			case 1:
+				packet.Kind = rapid.SampledFrom([]zf.PacketKind{zf.PacketClosing, zf.PacketReset}).Draw(rt, "end")
+			case 2:
+				packet = acknowledgementOf(packet)
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(rt, "milliseconds")) * time.Millisecond)
+				with.Tick(now, v)
+				without.Tick(now, v)
+				zfassert.Equal(t, "ended flows", len(with.EndedFlows()), len(without.EndedFlows()))
+			}
+			zfassert.Equal(t, "verdict", with.Route(packet, now), without.Route(packet, now))
+		}
+	})
+}
+
+func TestOpeningAllocations(t *testing.T) {
+	mapper := newOpeningMapper(centreView(false))
+	packet := data(1, zfcookie.CookieOf("s1", start), 1)
+	zfassert.Equal(t, "allocations per packet", testing.AllocsPerRun(100, func() { mapper.Route(packet, start) }), 0.0)
+	zfassert.Equal(t, "allocations per new flow", testing.AllocsPerRun(100, func() { mapper.Route(opening(1, 0), start) }), 0.0)
+}
+
+func BenchmarkOpening(b *testing.B) {
+	servers := rows(150)
+	packets := make([]zf.Packet, 0, 4096)
+	for n := range 4096 {
+		packets = append(packets, openingOf(n, n))
+	}
+	for name, mapper := range map[string]*zfcookie.Mapper{
+		"without evidence": newMapper(view(servers...)),
+		"with evidence":    newOpeningMapper(view(servers...)),
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				mapper.Route(packets[i%len(packets)], start)
+			}
+		})
+	}
+}
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	zf "zinniafront"
+	"zinniafront/core/zfopening"
 )
 
 // add adds a backend server to its tier, or to none if it takes no new flows.
@@ -45,6 +46,7 @@
 	now      time.Time
 	// totalsKnown is true while the total loads are up to date.
 	totalsKnown bool
+	attempt     *zfopening.Attempt
 }
 
 // allows reports whether a backend server may get a new flow. The rate of new flows of
@@ -70,7 +72,7 @@
 // acquire acquires the opening of a cold backend server and, if probe is set, the probe
 // of one that is only probed. It returns false if another goroutine was faster.
 func (o openingPacket) acquire(s *server, probe bool) bool {
-	if probe && !s.stats.acquireProbe(o.now) {
+	if probe && !(s.stats.acquireProbe(o.now) && o.acquireOpeningProbe(s)) {
 		return false
 	}
 	return s.OpeningRate == 0 || s.stats.acquireOpening(s.OpeningRate, o.now)
@@ -101,6 +103,9 @@
 // in its tier. It is used if the retransmissions of an opening packet have been sent to
 // all backend servers, or all that are left are only probed.
 func (p *pool) fallback(o openingPacket) *server {
+	if s := p.leastSuspect(o); s != nil {
+		return s
+	}
 	for _, tier := range p.tiers {
 		for i := range tier {
 			s := tier[(o.hash+uint64(i))%uint64(len(tier))]
@@ -120,7 +125,7 @@
 	start, step := o.hash%size, stride(o.hash/size, size)
 	for i := uint64(offset); i < size; i++ {
 		s := tier[(start+i*step)%size]
-		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) || s.stats.centre.unresponsive(s.Late, o.now) {
+		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) || s.stats.centre.unresponsive(s.Late, o.now) || o.passesOver(s) {
 			continue
 		}
 		if candidate == nil {
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	zf "zinniafront"
+	"zinniafront/core/zfopening"
 )
 
 const (
@@ -45,6 +46,8 @@
 	// with a payload.
 	opening  bool
 	sequence uint32
+	// ticket is that of the opening until the flow's next packet, or 0.
+	ticket zfopening.Ticket
 	// requestedAt is when the request that waits for an answer was forwarded, in Unix
 	// nanoseconds, or 0. acknowledgedBefore is the caller's acknowledgement number at
 	// that time.
@@ -58,13 +61,14 @@
 }
 
 // recordOpening records an opening packet.
-func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow) {
+func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow, ticket zfopening.Ticket) {
 	t.mutex.Lock()
 	t.rows[hash%requestRows] = requestRow{
 		hash:    hash,
 		flow:    *flow,
 		stats:   stats,
 		opening: true,
+		ticket:  ticket,
 	}
 	t.mutex.Unlock()
 }
@@ -91,6 +95,7 @@
 	// previous is the number of another backend server that an earlier packet of the
 	// open flow was forwarded to, or 0.
 	previous uint64
+	opened   openedFlow
 }
 
 // recordData records a packet with a payload. queued is true if it may have waited for this
@@ -101,6 +106,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	row := &t.rows[hash%requestRows]
+	result.opened = row.takeOpened(hash)
 	if row.hash != hash || row.stats != stats {
 		switch {
 		case row.hash != hash:
@@ -145,25 +151,30 @@
 
 // recordAcknowledgement records a packet without a payload, which may show that a
 // request was answered.
-func (t *requestTable) recordAcknowledgement(hash uint64, stats *serverStats, acknowledged uint32) {
+func (t *requestTable) recordAcknowledgement(hash uint64, stats *serverStats, acknowledged uint32) openedFlow {
 	t.mutex.Lock()
-	if row := &t.rows[hash%requestRows]; row.hash == hash && row.stats == stats {
+	defer t.mutex.Unlock()
+	row := &t.rows[hash%requestRows]
+	if row.hash == hash && row.stats == stats {
 		row.markAnswered(acknowledged)
 		row.lastAcknowledged = acknowledged
 	}
-	t.mutex.Unlock()
+	return row.takeOpened(hash)
 }
 
 // recordEnd records that the caller ends the flow. A request that still waits for its
 // answer counts as unanswered.
-func (t *requestTable) recordEnd(hash uint64, stats *serverStats, acknowledged uint32) {
+func (t *requestTable) recordEnd(hash uint64, stats *serverStats, acknowledged uint32) openedFlow {
 	t.mutex.Lock()
-	if row := &t.rows[hash%requestRows]; row.hash == hash && row.stats == stats {
+	defer t.mutex.Unlock()
+	row := &t.rows[hash%requestRows]
+	opened := row.takeOpened(hash)
+	if row.hash == hash && row.stats == stats {
 		row.markAnswered(acknowledged)
 		row.markUnanswered()
 		*row = requestRow{}
 	}
-	t.mutex.Unlock()
+	return opened
 }
 
 // takeEnded removes the open flows of dead backend servers from the table and
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -53,7 +53,8 @@
 	server := s.cookies[packet.Cookie]
 	switch {
 	case packet.Kind == zf.PacketReset && server != nil:
-		m.requests.recordEnd(zfflow.Hash(m.config.Seed, packet.Flow), server.stats, packet.Acknowledged)
+		opened := m.requests.recordEnd(zfflow.Hash(m.config.Seed, packet.Flow), server.stats, packet.Acknowledged)
+		m.cancelOpening(opened, now)
 		return forward(server)
 	case packet.Kind == zf.PacketReset:
 		return drop(zf.ReasonUnknownCookie)
@@ -88,15 +89,16 @@
 	hash := zfflow.Hash(m.config.Seed, packet.Flow)
 	switch {
 	case packet.Kind == zf.PacketClosing:
-		m.requests.recordEnd(hash, s.stats, packet.Acknowledged)
+		m.recordOpened(s, m.requests.recordEnd(hash, s.stats, packet.Acknowledged), now)
 		return dataResult{}
 	case packet.PayloadSize == 0:
 		s.stats.recordAnswer(now) // A caller acknowledges only data it has received.
-		m.requests.recordAcknowledgement(hash, s.stats, packet.Acknowledged)
+		m.recordOpened(s, m.requests.recordAcknowledgement(hash, s.stats, packet.Acknowledged), now)
 		return dataResult{}
 	}
 	s.stats.recordRequest()
 	result := m.requests.recordData(hash, s.stats, packet, m.resumed(now), now)
+	m.recordOpened(s, result.opened, now)
 	switch {
 	case result.answered:
 		s.stats.recordAnswer(now)
@@ -123,18 +125,20 @@
 	if p == nil {
 		return reset(zf.ReasonNoServer)
 	}
+	attempt := m.beginOpening(packet, hash, now)
 	s := p.choose(openingPacket{
 		hash:            hash,
 		retransmissions: packet.Retransmissions,
 		previous:        previous,
 		now:             now,
 		totalsKnown:     m.totalsKnown.Load(),
+		attempt:         &attempt,
 	})
 	if s == nil {
 		return reset(zf.ReasonNoServer)
 	}
 	s.stats.recordOpening()
-	m.requests.recordOpening(hash, s.stats, &packet.Flow)
+	m.requests.recordOpening(hash, s.stats, &packet.Flow, m.recordOpening(&attempt, s.stats, now))
 	return forward(s)
 }
 
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"zinniafront/core/zfopening"
 )
 
 // serverStats holds this instance's statistics of one backend server. The traffic
@@ -44,6 +46,8 @@
 	reportsLeft int
 	// centre holds the statistics of the backend server's data centre.
 	centre *centreStats
+	// opening is the row of its openings, or nil unless Config.Openings is set.
+	opening *zfopening.Server
 	// termination belongs to the control goroutine.
 	termination termination
 }
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -142,6 +142,10 @@
 	return w.config.Observer.UnresponsiveCentres(now)
 }
 
+// OpeningVerdicts returns the changes, since the last call, of what this instance infers
+// from opening packets.
+func (w *World) OpeningVerdicts() []zf.OpeningVerdict { return w.config.Observer.OpeningVerdicts() }
+
 // Loads returns the requests to each backend server since the last report, or nil if
 // that was less than loadInterval ago.
 func (w *World) Loads(now time.Time) []zf.ServerLoad {
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -62,9 +62,10 @@
 	)
 }
 
-func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, logger *zfevent.Logger) *zfforwardloop.Loop {
+func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger) *zfforwardloop.Loop {
 	mapper := zfcookie.New(zfcookie.Config{
-		Seed: flowSeed,
+		Seed:     flowSeed,
+		Openings: settings.Load.Placement == zfdocument.PlacementWait,
 	})
 	world := zfforward.New(zfforward.Config{
 		Self:     settings.Name,
@@ -74,11 +75,12 @@
 		Registry: zfregistry.DefaultConfig(zfregistry.Source(source), settings.Platform.HeartbeatInterval),
 	})
 	return zfforwardloop.New(zfforwardloop.Config{
-		World:  world,
-		Source: uint64(source),
-		Decode: reader.decode,
-		Clock:  f.Clock,
-		Logger: logger,
+		World:    world,
+		Source:   uint64(source),
+		Decode:   reader.decode,
+		Clock:    f.Clock,
+		Logger:   logger,
+		Counters: counters,
 	})
 }
 
--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -78,6 +78,11 @@
 
 	InboxDropped ReasonCounters
 
+	// OpeningServer and OpeningCentre count the changes of what was inferred from opening
+	// packets about backend servers and about data centres.
+	OpeningServer metrics.Counter
+	OpeningCentre metrics.Counter
+
 	// AskTime, SaveTime and FetchTime are histograms of the durations of operations,
 	// saves of the record, and fetches with their wait for changes.
 	AskTime   metrics.Timer
@@ -115,6 +120,8 @@
 		RequestRefused:  newReasonCounters(registry, "request.refused"),
 		RequestRetried:  newReasonCounters(registry, "request.retried"),
 		InboxDropped:    newReasonCounters(registry, "inbox.dropped"),
+		OpeningServer:   metrics.NewRegisteredCounter("opening.server", registry),
+		OpeningCentre:   metrics.NewRegisteredCounter("opening.centre", registry),
 		AskTime:         metrics.NewRegisteredTimer("ask.time", registry),
 		SaveTime:        metrics.NewRegisteredTimer("save.time", registry),
 		FetchTime:       metrics.NewRegisteredTimer("fetch.time", registry),
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -81,6 +81,7 @@
 	ServerStateChanged  = register(5005, "backend server changed", log.InfoLevel)
 	CentresUnresponsive = register(5006, "data centres unresponsive", log.WarnLevel)
 	FlowMoved           = register(5007, "open flow changed its backend server", log.WarnLevel)
+	OpeningsInferred    = register(5008, "openings lead nowhere", log.WarnLevel)
 )
 
 // The events of requests.
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -15,6 +15,7 @@
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
 	"zinniafront/io/zfcluster"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 )
 
@@ -32,9 +33,10 @@
 	// Decode parses the bundle of a control state's document.
 	Decode func(document []byte) (*zfbundle.Bundle, error)
 	// Source identifies this run of the process to its subscribers.
-	Source uint64
-	Clock  zf.Clock
-	Logger *zfevent.Logger
+	Source   uint64
+	Clock    zf.Clock
+	Logger   *zfevent.Logger
+	Counters *zfcounter.Set
 }
 
 // Loop is the control goroutine of an entry instance.
@@ -323,6 +325,7 @@
 		l.loggedCentres = centres
 		l.config.Logger.Entry(zfevent.CentresUnresponsive).Strs("centres", centreNames(centres)).Msg("")
 	}
+	l.logOpenings(world.OpeningVerdicts())
 	if world.Registry().ContentRevision() == l.loggedContentRevision {
 		return
 	}
@@ -344,6 +347,20 @@
 	}
 }
 
+// logOpenings logs and counts what has changed of what was inferred from opening packets.
+// The world bounds the number of changes a tick.
+func (l *Loop) logOpenings(changes []zf.OpeningVerdict) {
+	for _, change := range changes {
+		counter := l.config.Counters.OpeningServer
+		if change.Server == "" {
+			counter = l.config.Counters.OpeningCentre
+		}
+		counter.Inc(1)
+		l.config.Logger.Entry(zfevent.OpeningsInferred).Str("server", string(change.Server)).Str("centre", string(change.Centre)).Float64("share", change.Share).
+			Int("callers", change.Callers).Int("servers", change.Servers).Dur("age", change.Age).Int("sample", change.Sample).Dur("timeout", change.Timeout).Msg("")
+	}
+}
+
 func centreNames(centres []zf.CentreName) []string {
 	names := make([]string, len(centres))
 	for i, centre := range centres {
--- a/io/zfforwardloop/loop_test.go
+++ b/io/zfforwardloop/loop_test.go
@@ -12,6 +12,7 @@
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 	"zinniafront/io/zfforwardloop"
 	"zinniafront/lab/zfassert"
@@ -97,6 +98,7 @@
 			Output: io.Discard,
 			Level:  "error",
 		}),
+		Counters: zfcounter.New(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
--- a/ports.go
+++ b/ports.go
@@ -62,6 +62,9 @@
 	// UnresponsiveCentres returns the data centres whose backend servers have
 	// stopped answering together.
 	UnresponsiveCentres(now time.Time) []CentreName
+	// OpeningVerdicts returns the changes, since the last call, of what this instance
+	// infers from opening packets.
+	OpeningVerdicts() []OpeningVerdict
 	// SetTotalLoads sets the loads summed over all entry instances of the data
 	// centre.
 	SetTotalLoads(loads []ServerLoad, now time.Time)
