Count unopened openings only where next packets are usually seen

Cause: an instance that doesn't see the next packets of the flows that it opens would report all of them as unopened. The changes of verdicts on data centres that wait to be taken were not bounded.

--- a/core/zfcookie/opening.go
+++ b/core/zfcookie/opening.go
@@ -125,6 +125,9 @@
 	}
 	m.discardOpenings(now)
 	m.openings.Expire(now)
+	if len(m.verdicts) >= maxVerdicts {
+		return
+	}
 	m.verdicts = append(m.verdicts, m.openings.CentreChanges(now)...)
 	for incarnation, stats := range m.stats {
 		if len(m.verdicts) >= maxVerdicts {
--- a/core/zfcookie/opening_test.go
+++ b/core/zfcookie/opening_test.go
@@ -127,6 +127,16 @@
 	p.send(openingOf(address, p.port), caller, try)
 }
 
+// requestOf returns the request that follows an opening packet.
+func requestOf(opening zf.Packet, cookie zf.Cookie) zf.Packet {
+	return zf.Packet{
+		Flow:        opening.Flow,
+		Cookie:      cookie,
+		Sequence:    1,
+		PayloadSize: 100,
+	}
+}
+
 // openingOf returns the opening packet of the caller with the n-th address.
 func openingOf(n, port int) zf.Packet {
 	packet := opening(port, 0)
@@ -162,12 +172,7 @@
 		}
 	default:
 		p.result.opened[server.Number]++
-		request := zf.Packet{
-			Flow:        packet.Flow,
-			Cookie:      verdict.Cookie,
-			Sequence:    1,
-			PayloadSize: 100,
-		}
+		request := requestOf(packet, verdict.Cookie)
 		handshake := request
 		handshake.PayloadSize = 0
 		p.after(openingRoundTrip, func() {
@@ -322,20 +327,54 @@
 	}
 }
 
+// followed opens flows of different callers that send a request after the round trip.
+func followed(mapper *zfcookie.Mapper, flows int) {
+	for n := range flows {
+		packet := openingOf(n, n)
+		mapper.Route(requestOf(packet, mapper.Route(packet, start).Cookie), start.Add(openingRoundTrip))
+	}
+}
+
 func TestOpeningReports(t *testing.T) {
-	mapper := newOpeningMapper(view(row(1, "orders", "one")))
-	cookie := mapper.Route(opening(1, 0), start).Cookie
-	mapper.Route(data(1, cookie, 1), start.Add(openingRoundTrip))
-	mapper.Route(opening(2, 0), start.Add(openingRoundTrip))
-	mapper.Tick(start.Add(400*time.Millisecond), view(row(1, "orders", "one")))
+	v := view(row(1, "orders", "one"))
+	mapper := newOpeningMapper(v)
+	followed(mapper, 20)
+	mapper.Route(openingOf(99, 99), start.Add(openingRoundTrip))
+	mapper.Tick(start.Add(400*time.Millisecond), v)
 	zfassert.Equal(t, "loads", mapper.Loads(), []zf.ServerLoad{{
-		Cookie:   cookie,
-		Requests: 1,
-		Opened:   1,
+		Cookie:   zfcookie.CookieOf("s1", start),
+		Requests: 20,
+		Opened:   20,
 		Unopened: 1,
 	}})
 }
 
+func TestConcurrentOpenings(t *testing.T) {
+	packets := make([]zf.Packet, 0, 300)
+	for n := range 300 {
+		packets = append(packets, openingOf(200+n, 200+n))
+	}
+	mapper := newOpeningMapper(centreView(false))
+	followed(mapper, 20)
+	now := tickUntil(mapper, centreView(false), start, start.Add(100*time.Millisecond))
+	routeConcurrently(mapper, packets[:100], now)
+	now = tickUntil(mapper, centreView(false), now, now.Add(200*time.Millisecond))
+	for _, packet := range packets[100:120] {
+		if verdict := mapper.Route(packet, now); verdict.Number > centreSize {
+			mapper.Route(requestOf(packet, verdict.Cookie), now)
+		}
+	}
+	now = tickUntil(mapper, centreView(false), now, now.Add(time.Second))
+	probes := 0
+	for _, verdict := range routeConcurrently(mapper, packets[120:], now) {
+		assertForward(t, verdict)
+		if verdict.Number <= centreSize {
+			probes++
+		}
+	}
+	zfassert.Equal(t, "probes of the data centre that refuses", probes, 1)
+}
+
 // TestOpenFlows checks that evidence from openings changes no verdict on open flows.
 func TestOpenFlows(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/core/zfcookie/place_test.go
+++ b/core/zfcookie/place_test.go
@@ -101,20 +101,20 @@
 	})
 }
 
-// routeConcurrently routes each packet in its own goroutine and returns the actions.
-func routeConcurrently(mapper *zfcookie.Mapper, packets []zf.Packet, now time.Time) []zf.Action {
-	actions := make([]zf.Action, len(packets))
+// routeConcurrently routes each packet in its own goroutine and returns the verdicts.
+func routeConcurrently(mapper *zfcookie.Mapper, packets []zf.Packet, now time.Time) []zf.Verdict {
+	verdicts := make([]zf.Verdict, len(packets))
 	begin := make(chan struct{})
 	var routed sync.WaitGroup
 	for i, packet := range packets {
 		routed.Go(func() {
 			<-begin
-			actions[i] = mapper.Route(packet, now).Action
+			verdicts[i] = mapper.Route(packet, now)
 		})
 	}
 	close(begin)
 	routed.Wait()
-	return actions
+	return verdicts
 }
 
 func TestColdRate(t *testing.T) {
@@ -152,8 +152,8 @@
 		mapper := newMapper(view(rows...))
 		for round := range 2000 {
 			now := start.Add(time.Duration(round) * time.Second)
-			for _, action := range routeConcurrently(mapper, packets, now) {
-				zfassert.Equal(t, fmt.Sprintf("action in round %d", round), action, zf.ActionForward)
+			for _, verdict := range routeConcurrently(mapper, packets, now) {
+				zfassert.Equal(t, fmt.Sprintf("action in round %d", round), verdict.Action, zf.ActionForward)
 			}
 		}
 	})
--- a/core/zfopening/server.go
+++ b/core/zfopening/server.go
@@ -119,10 +119,10 @@
 }
 
 func (s *Server) recordUnopened(caller uint64, trusted bool, now time.Time) {
-	s.unopened.Add(1)
 	if !trusted {
 		return
 	}
+	s.unopened.Add(1)
 	s.callers.add(caller, now)
 	s.centre.recordUnopened(s.key, caller, now)
 }
