--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -82,6 +82,10 @@
 
 	// departureShares holds a gauge for each service whose new flows left.
 	departureShares map[zf.ServiceName]metrics.GaugeFloat64
+	// OpeningServer and OpeningCentre count the changes of what was inferred from opening
+	// packets about backend servers and about data centres.
+	OpeningServer metrics.Counter
+	OpeningCentre metrics.Counter
 
 	// AskTime, SaveTime and FetchTime are histograms of the durations of operations,
 	// saves of the record, and fetches with their wait for changes.
@@ -122,6 +126,8 @@
 		RequestRetried:  newReasonCounters(registry, "request.retried"),
 		InboxDropped:    newReasonCounters(registry, "inbox.dropped"),
 		departureShares: make(map[zf.ServiceName]metrics.GaugeFloat64),
+		OpeningServer:   metrics.NewRegisteredCounter("opening.server", registry),
+		OpeningCentre:   metrics.NewRegisteredCounter("opening.centre", registry),
 		AskTime:         metrics.NewRegisteredTimer("ask.time", registry),
 		SaveTime:        metrics.NewRegisteredTimer("save.time", registry),
 		FetchTime:       metrics.NewRegisteredTimer("fetch.time", registry),
