--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -48,6 +48,12 @@
 // AddBytes adds to the byte counter of a kind of message.
 func (k KindCounters) AddBytes(kind zf.MessageKind, bytes int) { k.counters[kind].Inc(int64(bytes)) }
 
+// ByteCounters count bytes in both directions.
+type ByteCounters struct {
+	Received metrics.Counter
+	Sent     metrics.Counter
+}
+
 // Set holds all metrics of one process. docs/METRICS.md describes each.
 type Set struct {
 	Registry metrics.Registry
@@ -78,6 +84,15 @@
 
 	InboxDropped ReasonCounters
 
+	// ResourceUse is the smoothed use of each resource as a share of its limit, Strain the
+	// zf.Strain, and Shed the share of opening packets that are dropped.
+	ResourceUse [zf.ResourceDescriptors + 1]metrics.GaugeFloat64
+	Strain      metrics.Gauge
+	Shed        metrics.GaugeFloat64
+	// Link counts the bytes on the instance's link: packets, and calls of this process
+	// and of others, without the headers of the network.
+	Link ByteCounters
+
 	// AskTime, SaveTime and FetchTime are histograms of the durations of operations,
 	// saves of the record, and fetches with their wait for changes.
 	AskTime   metrics.Timer
@@ -97,7 +112,7 @@
 // New returns a set of metrics at zero.
 func New() *Set {
 	registry := metrics.NewRegistry()
-	return &Set{
+	set := &Set{
 		Registry:        registry,
 		PacketReceived:  metrics.NewRegisteredCounter("packet.received", registry),
 		PacketForwarded: metrics.NewRegisteredCounter("packet.forwarded", registry),
@@ -119,5 +134,16 @@
 		SaveTime:        metrics.NewRegisteredTimer("save.time", registry),
 		FetchTime:       metrics.NewRegisteredTimer("fetch.time", registry),
 		ForwardTime:     metrics.NewRegisteredTimer("forward.time", registry),
+		Strain:          metrics.NewRegisteredGauge("strain", registry),
+		Shed:            metrics.NewRegisteredGaugeFloat64("shed", registry),
+		Link: ByteCounters{
+			Received: metrics.NewRegisteredCounter("link.received", registry),
+			Sent:     metrics.NewRegisteredCounter("link.sent", registry),
+		},
+	}
+	for resource := range set.ResourceUse {
+		name := "resource.use." + zf.Resource(resource).String()
+		set.ResourceUse[resource] = metrics.NewRegisteredGaugeFloat64(name, registry)
 	}
+	return set
 }
--- a/reason.go
+++ b/reason.go
@@ -56,6 +56,9 @@
 	// ReasonNoRoom means that a new flow was turned away, as the backend servers of its
 	// service can't serve it in time.
 	ReasonNoRoom
+	// ReasonOverloaded means that an opening packet was dropped, as the instance is
+	// overloaded.
+	ReasonOverloaded
 
 	// Messages and announcements.
 	ReasonTooLarge
@@ -115,6 +118,7 @@
 	ReasonServerUnresponsive: "serverunresponsive",
 	ReasonCentreUnresponsive: "centreunresponsive",
 	ReasonNoRoom:             "noroom",
+	ReasonOverloaded:         "overloaded",
 	ReasonTooLarge:           "toolarge",
 	ReasonBadEncoding:        "badencoding",
 	ReasonBadSignature:       "badsignature",
