Grant overloaded instances permits to leave the rotation

Cause: an overloaded instance kept its share of the fabric's packets. Change: control instances grant a step-out permit if four other instances without strain are ready for each that is not, and renew it while half are; stop permits count instances that have left as not ready, and the other way round.

--- a/core/zfpermit/table.go
+++ b/core/zfpermit/table.go
@@ -1,8 +1,8 @@
-// Package zfpermit grants stop permits to entry instances. Its table has a row for
-// each entry instance that reports to a control instance. Permits limit how many
-// instances stop at a time, because planned stops may follow each other quickly, and a
-// fabric that finds fewer than half of a data centre's instances ready sends packets
-// to all of them, including those that are down.
+// Package zfpermit grants stop permits, and permits to leave the rotation during an
+// overload, to entry instances. Its table has a row for each entry instance that reports to
+// a control instance. Permits limit how many instances stop at a time, because planned
+// stops may follow each other quickly, and a fabric that finds fewer than half of a data
+// centre's instances ready sends packets to all of them, including those that are down.
 package zfpermit
 
 import (
@@ -28,6 +28,10 @@
 	Ready bool
 	// Stopping is set if the instance was asked to stop and waits for a permit.
 	Stopping bool
+	// Strain is how far the instance's resources suffice. StepOut is set if it requests a
+	// permit to leave the rotation, or its renewal.
+	Strain  zf.Strain
+	StepOut bool
 }
 
 type row struct {
@@ -35,11 +39,16 @@
 	lastReport time.Time
 	// granted is set if the instance has a stop permit; it no longer counts as ready.
 	granted bool
+	// steppedOut is set if the instance has a permit to leave the rotation; it no longer
+	// counts as ready.
+	steppedOut bool
 }
 
 // Table holds the entry instances and their stop permits.
 type Table struct {
 	rows map[zf.InstanceName]*row
+	// changes are those of step-out permits that have not been taken.
+	changes []Change
 }
 
 // New returns a table without rows.
@@ -50,13 +59,17 @@
 }
 
 // Record records the report of an instance. A report without Stopping ends the
-// instance's permit, and the instance then counts as ready if it reports Ready.
+// instance's stop permit, one without StepOut or of an instance that has returned its permit
+// to leave the rotation, and the instance then counts as ready if it reports Ready.
 func (t *Table) Record(report Report, now time.Time) {
 	r := t.rows[report.Instance]
 	if r == nil {
 		r = &row{}
 		t.rows[report.Instance] = r
 	}
+	if r.steppedOut && (!report.StepOut || report.Ready && !r.Ready) {
+		t.endStepOut(report.Instance, r)
+	}
 	r.Report = report
 	r.lastReport = now
 	r.granted = r.granted && report.Stopping
@@ -66,6 +79,9 @@
 func (t *Table) Tick(now time.Time) {
 	for name, r := range t.rows {
 		if now.Sub(r.lastReport) >= removeTimeout {
+			if r.steppedOut {
+				t.endStepOut(name, r)
+			}
 			delete(t.rows, name)
 		}
 	}
@@ -87,7 +103,7 @@
 			continue
 		}
 		total++
-		if other.Ready && !other.granted && now.Sub(other.lastReport) < reportTimeout {
+		if other.takesTraffic(now) {
 			ready++
 		}
 	}
--- a/core/zfrotation/table.go
+++ b/core/zfrotation/table.go
@@ -242,3 +242,14 @@
 	}
 	return true
 }
+
+// MayLeave reports whether an instance may leave the rotation, as of the last tick: at
+// least half of the expected instances of its data centre stay ready without it.
+func (t *Table) MayLeave(name zf.InstanceName, centreName zf.CentreName) bool {
+	c := t.centreOf(centreName)
+	ready := c.ready
+	if r := t.rows[name]; r != nil && r.Ready {
+		ready--
+	}
+	return 2*ready >= max(c.expected, c.known)
+}
