Let an overloaded entry instance step out with a permit

Change: the world keeps its strain, requests a permit after 2 s of overload, is not ready while it has one, and returns when the strain is over or the permit is not renewed for 3 s. Reports of loads are halved while resources are short.

--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -12,6 +12,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfresource"
 )
 
 // Config holds the dependencies of a world.
@@ -43,6 +44,9 @@
 // one to three seconds.
 const loadInterval = time.Second
 
+// strainedLoadInterval is the same while resources are short; totals are trusted for longer.
+const strainedLoadInterval = 2 * time.Second
+
 // Reply is the reply of a control instance, or of another entry instance, to a fetch.
 type Reply struct {
 	// HasPeers is true if there are other entry instances.
@@ -89,6 +93,11 @@
 	restored map[zf.CentreName]time.Time
 	stop     plannedStop
 	entry    rotationEntry
+	// resources holds the use of this instance's resources, strain whether they suffice.
+	resources *zfresource.Table
+	strain    zf.Strain
+	shedder   zfresource.Shedder
+	stepOut   stepOut
 	// loadsReported is when the loads of backend servers were last reported.
 	loadsReported time.Time
 	viewRevisions revisions
@@ -118,6 +127,8 @@
 		config:   config,
 		registry: zfregistry.New(config.Registry),
 		restored: make(map[zf.CentreName]time.Time),
+
+		resources: zfresource.New(),
 		view: zf.View{
 			Self:   config.Self,
 			Centre: config.Centre,
@@ -143,9 +154,9 @@
 }
 
 // Loads returns the requests to each backend server since the last report, or nil if
-// that was less than loadInterval ago.
+// that was less than loadsInterval ago.
 func (w *World) Loads(now time.Time) []zf.ServerLoad {
-	if now.Sub(w.loadsReported) < loadInterval {
+	if now.Sub(w.loadsReported) < w.loadsInterval() {
 		return nil
 	}
 	w.loadsReported = now
@@ -177,6 +188,9 @@
 	}
 	w.synced = w.synced || !reply.Changes.More
 	w.stop.begun = w.stop.begun || w.stop.requested && reply.StopPermitted
+	if reply.StepOutPermitted {
+		w.stepOut.permit(now)
+	}
 	w.tickMapper(now)
 	w.entry.update(w.Able(), reply.Wait, now)
 	return changed
@@ -203,9 +217,9 @@
 func (w *World) Ready() bool { return w.Able() && w.entry.entered }
 
 // Able reports whether the instance could take traffic: it takes it, or waits until it
-// may enter the rotation.
+// may enter the rotation. One that has stepped out is not able.
 func (w *World) Able() bool {
-	return !w.stop.begun && !w.isolated && w.synced && w.state.Bundle != nil && w.config.Mapper.Synced()
+	return !w.stop.begun && !w.stepOut.out && !w.isolated && w.synced && w.state.Bundle != nil && w.config.Mapper.Synced()
 }
 
 // Isolated reports whether no reply has been received within isolationTimeout although
@@ -216,6 +230,7 @@
 func (w *World) Tick(now time.Time) {
 	w.isolated = w.synced && w.hasPeers && now.Sub(w.lastReply) >= isolationTimeout
 	w.registry.Tick(now, time.Time{})
+	w.stepOut.update(w.strain, w.Ready() && !w.stop.requested, now)
 	w.beginStopIfDue(now)
 	w.tickMapper(now)
 	repliesArrive := now.Sub(w.lastReply) < replyTimeout
