Send strain and step-out permits with fetches

Cause: permits need the strain of each instance at the control instances. Change: fetches carry strain and the request, replies the permit; a first grant is sent at once. Bytes of fetches are counted. Events 2013, 2014 and 3020.

--- a/io/zfcluster/client.go
+++ b/io/zfcluster/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	zf "zinniafront"
+	"zinniafront/io/zfcounter"
 )
 
 // dialTimeout bounds the wait for a connection: an instance that has no power or is
@@ -22,8 +23,10 @@
 type Client struct {
 	address netip.AddrPort
 	clock   zf.Clock
-	mutex   sync.Mutex
-	rpc     *rpc.Client
+	// link counts the bytes of calls; its counters may be nil.
+	link  zfcounter.ByteCounters
+	mutex sync.Mutex
+	rpc   *rpc.Client
 }
 
 // NewClient returns a client without a connection.
@@ -47,10 +50,36 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
+	if c.link.Sent != nil {
+		conn = countedConn{
+			Conn: conn,
+			link: c.link,
+		}
+	}
 	c.rpc = rpc.NewClient(conn)
 	return c.rpc, nil
 }
 
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	link zfcounter.ByteCounters
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.link.Received.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.link.Sent.Inc(int64(n))
+	return n, err
+}
+
 // drop closes a connection that failed.
 func (c *Client) drop(failed *rpc.Client) {
 	c.mutex.Lock()
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -35,6 +35,9 @@
 	// StopPermitted reports whether an entry instance that was asked to stop has a stop
 	// permit, and grants one if that is possible now.
 	StopPermitted(instance zf.InstanceName, now time.Time) bool
+	// StepOutPermitted reports whether an overloaded entry instance has a permit to leave
+	// the rotation, and grants or renews one if that is possible now.
+	StepOutPermitted(instance zf.InstanceName, centre zf.CentreName, now time.Time) bool
 	// MayEnter reports whether an entry instance that is able to take traffic may enter
 	// the rotation.
 	MayEnter(instance zf.InstanceName, centre zf.CentreName) bool
@@ -227,7 +230,7 @@
 		}
 		changed := latest > p.args.Cursor && !now.Before(p.notBefore)
 		due := !f.Recognizes(p.args) || p.args.More || changed || !p.args.Control && index > p.args.Index ||
-			f.stopPermitted(p.args, now) || p.args.Able && !p.args.Ready && !f.mustWait(p.args)
+			f.stopPermitted(p.args, now) || p.args.Ready && f.stepOutPermitted(p.args, now) || p.args.Able && !p.args.Ready && !f.mustWait(p.args)
 		if !due && now.Before(p.deadline) {
 			return false
 		}
@@ -251,6 +254,7 @@
 		Near:     f.isLocalControl(args),
 		Entries:  f.entryCount(!args.Control, now),
 		Turn:     f.stopPermitted(args, now),
+		StepOut:  f.stepOutPermitted(args, now),
 		Wait:     f.mustWait(args),
 	}
 	if args.Control {
@@ -284,6 +288,12 @@
 	return args.Stopping && f.config.Data.StopPermitted(args.Instance, now)
 }
 
+// stepOutPermitted reports whether a fetch is from an instance that requests a permit to
+// leave the rotation and holds it.
+func (f *Feed) stepOutPermitted(args FetchArgs, now time.Time) bool {
+	return args.StepOut && f.config.Data.StepOutPermitted(args.Instance, args.Centre, now)
+}
+
 // peers removes expired subscribers and returns a few others than the sender, those in
 // its data centre first. A control instance of the same data centre gets all
 // subscribers of this feed.
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -25,6 +25,8 @@
 	loads         []zf.ServerLoad
 	stopPermitted bool
 	mustWait      bool
+
+	stepOutPermitted bool
 }
 
 func newTestFeedData() *testFeedData {
@@ -56,6 +58,10 @@
 	return s.loads[:min(len(s.loads), 1)]
 }
 
+func (s *testFeedData) StepOutPermitted(zf.InstanceName, zf.CentreName, time.Time) bool {
+	return s.stepOutPermitted
+}
+
 func (s *testFeedData) StopPermitted(zf.InstanceName, time.Time) bool { return s.stopPermitted }
 
 func (s *testFeedData) MayEnter(zf.InstanceName, zf.CentreName) bool { return !s.mustWait }
--- a/io/zfcluster/subscriber.go
+++ b/io/zfcluster/subscriber.go
@@ -12,6 +12,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 )
 
@@ -52,6 +53,8 @@
 	Logger *zfevent.Logger
 	// FetchTime records the duration of each fetch.
 	FetchTime metrics.Timer
+	// Link counts the bytes of fetches; its counters may be nil.
+	Link zfcounter.ByteCounters
 	// FetchState returns the state to report with a fetch. withDigests is set until the
 	// other instance's whole table has been received once, which may take several
 	// pages.
@@ -78,6 +81,10 @@
 	Stopping bool
 	// Able is set if this instance could take traffic.
 	Able bool
+	// Strain is how far this instance's resources suffice. StepOut is set if it requests a
+	// permit to leave the rotation, or its renewal.
+	Strain  zf.Strain
+	StepOut bool
 }
 
 // Subscriber fetches changes from one control instance, and switches to another when
@@ -200,6 +207,7 @@
 // disconnect.
 func (s *Subscriber) startSession(address netip.AddrPort, peer bool) {
 	s.client = NewClient(address, s.config.Clock)
+	s.client.link = s.config.Link
 	s.progress = Progress{}
 	s.rowsToSend = nil
 	s.receivedIndex = 0
@@ -260,6 +268,8 @@
 		Ready:    state.Ready,
 		Stopping: state.Stopping,
 		Able:     state.Able,
+		Strain:   state.Strain,
+		StepOut:  state.StepOut,
 		Hold:     hold,
 	}
 	s.progress.Request(&args)
--- a/io/zfcontrollerloop/feed.go
+++ b/io/zfcontrollerloop/feed.go
@@ -10,6 +10,7 @@
 	"zinniafront/core/zfregistry"
 	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
+	"zinniafront/io/zfevent"
 )
 
 // feedData implements zfcluster.FeedData with the tables of a world.
@@ -61,6 +62,11 @@
 	return d.world.StopPermits().Acquire(instance, now)
 }
 
+// StepOutPermitted implements zfcluster.FeedData.
+func (d feedData) StepOutPermitted(instance zf.InstanceName, centre zf.CentreName, now time.Time) bool {
+	return d.world.Rotation().MayLeave(instance, centre) && d.world.StopPermits().AcquireStepOut(instance, now)
+}
+
 // MayEnter implements zfcluster.FeedData.
 func (d feedData) MayEnter(instance zf.InstanceName, centre zf.CentreName) bool {
 	return d.world.Rotation().MayEnter(instance, centre)
@@ -90,6 +96,8 @@
 				Centre:   args.Centre,
 				Ready:    args.Ready,
 				Stopping: args.Stopping,
+				Strain:   args.Strain,
+				StepOut:  args.StepOut,
 			}, now)
 			l.config.World.Rotation().Record(zfrotation.Report{
 				Instance: args.Instance,
@@ -109,3 +117,11 @@
 		return zfcluster.FetchReply{}, ErrStopped
 	}
 }
+
+// logStepOuts logs the permits to leave the rotation that were granted or have ended.
+func (l *Loop) logStepOuts() {
+	for _, change := range l.config.World.StopPermits().TakeChanges() {
+		l.config.Logger.Entry(zfevent.StepOutPermitChanged).Str("subject", string(change.Instance)).
+			Bool("granted", change.Granted).Int("total", change.Total).Int("calm", change.Calm).Msg("")
+	}
+}
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -164,6 +164,7 @@
 	l.feed.AnswerFetches(now)
 	l.logChanges()
 	l.logOutliers()
+	l.logStepOuts()
 }
 
 // enqueue adds an event to the inbox and waits while the inbox is full. It returns
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -45,6 +45,9 @@
 	// longer ready.
 	StopBegun  = register(2011, "planned stop begun", log.InfoLevel)
 	EntryWaits = register(2012, "waiting to enter the rotation", log.InfoLevel)
+	// StrainChanged is logged with the use of each measured resource.
+	StrainChanged  = register(2013, "strain changed", log.WarnLevel)
+	StepOutChanged = register(2014, "leave from the rotation by permit", log.WarnLevel)
 )
 
 // The events of a control instance.
@@ -70,6 +73,7 @@
 	// SubscribersSaveFailed only delays recovery after the next outage.
 	SubscribersSaveFailed = register(3018, "followers not saved", log.WarnLevel)
 	CommandUnconfirmed    = register(3019, "command to be confirmed", log.InfoLevel)
+	StepOutPermitChanged  = register(3020, "permit to leave the rotation", log.InfoLevel)
 )
 
 // The events of an instance with the forward role, besides those of an entry instance.
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -61,6 +61,10 @@
 // without a control instance no stops are coordinated.
 func (l *Loop) StopPermitted(zf.InstanceName, time.Time) bool { return true }
 
+// StepOutPermitted implements zfcluster.FeedData. Only control instances know enough to let
+// an instance leave the rotation.
+func (l *Loop) StepOutPermitted(zf.InstanceName, zf.CentreName, time.Time) bool { return false }
+
 // MayEnter implements zfcluster.FeedData. Without a control instance no instance waits for
 // others.
 func (l *Loop) MayEnter(zf.InstanceName, zf.CentreName) bool { return true }
