--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -17,6 +17,7 @@
 	"zinniafront/io/zfdocument"
 	"zinniafront/io/zfevent"
 	"zinniafront/io/zfforwardloop"
+	"zinniafront/io/zfmeter"
 	"zinniafront/io/zftraffic"
 	"zinniafront/platform"
 )
@@ -62,7 +63,7 @@
 	)
 }
 
-func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, logger *zfevent.Logger) *zfforwardloop.Loop {
+func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger) *zfforwardloop.Loop {
 	mapper := zfcookie.New(zfcookie.Config{
 		Seed: flowSeed,
 	})
@@ -79,11 +80,28 @@
 		Decode: reader.decode,
 		Clock:  f.Clock,
 		Logger: logger,
+
+		Meter:    newMeter(settings, counters),
+		Counters: counters,
+	})
+}
+
+// newMeter returns the meter of the resources in the settings, or nil if there are none.
+func newMeter(settings *zfdocument.Settings, counters *zfcounter.Set) zf.Meter {
+	if settings.Resources == (zfdocument.Resources{}) {
+		return nil
+	}
+	return zfmeter.New(zfmeter.Config{
+		Limits:        settings.Resources,
+		Link:          counters.Link,
+		ProcessorTime: zfmeter.ProcessorTime,
+		Memory:        zfmeter.Memory,
 	})
 }
 
 func newForwardTraffic(settings *zfdocument.Settings, loop *zfforwardloop.Loop, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger) (*zftraffic.Sockets, error) {
 	decisionLog := zftraffic.NewDecisionLog(logger, loop.StateAge)
+	loop.OnStrainChanged(decisionLog.SetStrain)
 	return zftraffic.Listen(zftraffic.Config{
 		Traffic:    settings.Listen.Traffic,
 		Threads:    settings.Threads,
@@ -91,6 +109,7 @@
 		Mapper:     loop.Mapper(),
 		Clock:      f.Clock,
 		Counters:   counters,
+		Admit:      loop.Admit,
 		OnDecision: decisionLog.Log,
 	})
 }
@@ -138,6 +157,7 @@
 		Clock:      p.Factory.Clock,
 		Logger:     p.Logger,
 		FetchTime:  p.Counters.FetchTime,
+		Link:       p.Counters.Link,
 		FetchState: p.Loop.FetchState,
 		ApplyReply: p.Loop.ApplyReply,
 	})
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -15,6 +15,7 @@
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
 	"zinniafront/io/zfcluster"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 )
 
@@ -35,6 +36,10 @@
 	Source uint64
 	Clock  zf.Clock
 	Logger *zfevent.Logger
+	// Meter measures the use of resources; it is nil if the settings state none.
+	Meter zf.Meter
+	// Counters hold the gauges of resources; they are required with Meter.
+	Counters *zfcounter.Set
 }
 
 // Loop is the control goroutine of an entry instance.
@@ -49,8 +54,11 @@
 	// flowsEndedHandler receives the open flows whose backend servers were found dead,
 	// to reset them at their callers.
 	flowsEndedHandler func(ended []zf.EndedFlow)
-	feed              *zfcluster.Feed
-	quorum            quorumStatus
+	// strainHandler receives each change of the strain.
+	strainHandler func(strain zf.Strain)
+	resources     resourceState
+	feed          *zfcluster.Feed
+	quorum        quorumStatus
 	// ready and index are copies of the world's fields for other goroutines.
 	ready atomic.Bool
 	index atomic.Uint64
@@ -117,12 +125,15 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	for {
+		due := l.config.Clock.Now().Add(tickInterval)
 		tick, release := l.config.Clock.After(tickInterval)
 		if !l.applyUntil(ctx, tick) {
 			release()
 			return
 		}
-		l.config.World.Tick(l.config.Clock.Now())
+		now := l.config.Clock.Now()
+		l.measure(now.Sub(due), now)
+		l.config.World.Tick(now)
 		l.flush()
 	}
 }
@@ -219,6 +230,8 @@
 		state.Ready = l.config.World.Ready()
 		state.Able = l.config.World.Able()
 		state.Stopping = l.config.World.StopPending()
+		state.Strain = l.config.World.Strain()
+		state.StepOut = l.config.World.StepOutRequested()
 		state.Outcomes = l.config.World.Outcomes()
 		state.Loads = l.config.World.Loads(now)
 		if withDigests {
@@ -311,6 +324,7 @@
 		l.ready.Store(ready)
 		l.config.Logger.Entry(zfevent.ReadyChanged).Bool("ready", ready).Bool("isolated", world.Isolated()).Msg("")
 	}
+	l.publishStrain()
 	if waiting := world.WaitsToEnter(); waiting != l.loggedWaiting {
 		l.loggedWaiting = waiting
 		l.config.Logger.Entry(zfevent.EntryWaits).Bool("waits", waiting).Msg("")
--- a/io/zftraffic/decisionlog.go
+++ b/io/zftraffic/decisionlog.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	zf "zinniafront"
@@ -15,6 +16,9 @@
 	// to follow a few callers, and bound the log in a flood.
 	logBurst    = 20
 	logInterval = 100 * time.Millisecond
+	// strainedLogInterval is the time between two decisions on new flows while resources
+	// are short.
+	strainedLogInterval = time.Second
 )
 
 // DecisionLog logs decisions on packets up to a rate limit, and the number of those
@@ -23,15 +27,17 @@
 type DecisionLog struct {
 	logger   *zfevent.Logger
 	stateAge StateAge
+	// strained is set while resources are short.
+	strained atomic.Bool
 	mutex    sync.Mutex
 	opening  rateLimit
 	open     rateLimit
 }
 
-// rateLimit permits a line each logInterval on average, and logBurst at once.
+// rateLimit permits a line each interval on average, and logBurst at once.
 type rateLimit struct {
 	// credit is the time accumulated for log lines, up to that of a burst, as of
-	// lastCredit. Each line costs logInterval.
+	// lastCredit. Each line costs an interval.
 	credit     time.Duration
 	lastCredit time.Time
 	suppressed uint64
@@ -67,7 +73,11 @@
 	if event == zfevent.FlowMoved || event == zfevent.FlowReset && packet.Kind != zf.PacketOpening {
 		limit = &d.open
 	}
-	suppressed, ok := d.allow(limit, now)
+	interval := logInterval
+	if limit == &d.opening && d.strained.Load() {
+		interval = strainedLogInterval
+	}
+	suppressed, ok := d.allow(limit, interval, now)
 	if !ok {
 		return
 	}
@@ -91,18 +101,21 @@
 	entry.Msg("")
 }
 
+// SetStrain puts off decisions on new flows while resources are short.
+func (d *DecisionLog) SetStrain(strain zf.Strain) { d.strained.Store(strain != zf.StrainNone) }
+
 // allow reports whether a rate limit permits a line, and how many were suppressed since
 // the last one.
-func (d *DecisionLog) allow(limit *rateLimit, now time.Time) (uint64, bool) {
+func (d *DecisionLog) allow(limit *rateLimit, interval time.Duration, now time.Time) (uint64, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	limit.credit = min(limit.credit+now.Sub(limit.lastCredit), logBurst*logInterval)
+	limit.credit = min(limit.credit+now.Sub(limit.lastCredit), logBurst*interval)
 	limit.lastCredit = now
-	if limit.credit < logInterval {
+	if limit.credit < interval {
 		limit.suppressed++
 		return 0, false
 	}
-	limit.credit -= logInterval
+	limit.credit -= interval
 	suppressed := limit.suppressed
 	limit.suppressed = 0
 	return suppressed, true
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -36,6 +36,9 @@
 	Mapper   zf.Mapper
 	Clock    zf.Clock
 	Counters *zfcounter.Set
+	// Admit reports whether a packet may be forwarded although the instance is overloaded;
+	// it may be nil.
+	Admit func(packet zf.Packet) bool
 	// OnDecision is called with every decision; it may be nil.
 	OnDecision func(packet zf.Packet, verdict zf.Verdict, now time.Time)
 }
@@ -134,6 +137,7 @@
 func (s *Sockets) handle(framing zf.Framing, frame []byte, relay netip.AddrPort) {
 	counters := s.config.Counters
 	counters.PacketReceived.Inc(1)
+	counters.Link.Received.Inc(int64(len(frame) - framing.Headroom()))
 	packet, err := framing.Decode(frame[framing.Headroom():])
 	if err != nil {
 		counters.PacketDropped.Add(reasonOf(err))
@@ -141,10 +145,12 @@
 	}
 	packet.Relay = relay
 	now := s.config.Clock.Now()
-	verdict := s.config.Mapper.Route(packet, now)
+	verdict := s.route(packet, now)
 	switch verdict.Action {
 	case zf.ActionForward:
-		_, err = s.traffic.WriteToUDPAddrPort(framing.Forward(frame, verdict), verdict.To)
+		datagram := framing.Forward(frame, verdict)
+		counters.Link.Sent.Inc(int64(len(datagram)))
+		_, err = s.traffic.WriteToUDPAddrPort(datagram, verdict.To)
 		counters.PacketForwarded.Inc(1)
 	case zf.ActionRelay:
 		_, err = s.relay.WriteToUDPAddrPort(frame[framing.Headroom():], verdict.To)
@@ -163,6 +169,18 @@
 	}
 }
 
+// route decides on one packet.
+func (s *Sockets) route(packet zf.Packet, now time.Time) zf.Verdict {
+	if s.config.Admit != nil && !s.config.Admit(packet) {
+		return zf.Verdict{
+			Action: zf.ActionDrop,
+			Server: zf.NoServer,
+			Reason: zf.ReasonOverloaded,
+		}
+	}
+	return s.config.Mapper.Route(packet, now)
+}
+
 // SendResets sends a reset to the caller of each ended flow.
 func (s *Sockets) SendResets(ended []zf.EndedFlow) {
 	framing := s.config.Framing()
@@ -192,6 +210,7 @@
 	if !ok {
 		return nil
 	}
+	s.config.Counters.Link.Sent.Inc(int64(len(datagram)))
 	_, err := s.traffic.WriteToUDPAddrPort(datagram, to)
 	return errors.Wrap(err, "send reset")
 }
