--- a/core/zfrotation/table_test.go
+++ b/core/zfrotation/table_test.go
@@ -185,3 +185,32 @@
 		r.assertMayEnter(t, "one", true)
 	})
 }
+
+// assertMayLeave asks each control instance for one of the instances that report to it.
+func (r *region) assertMayLeave(t testing.TB, want bool) {
+	t.Helper()
+	for i, table := range r.tables {
+		zfassert.Equal(t, "may leave", table.MayLeave(name("one", i), "one"), want)
+	}
+}
+
+func TestLeave(t *testing.T) {
+	newCentre := func(alive int) *region {
+		r := newRegion(map[zf.CentreName]int{
+			"one": 12,
+		})
+		r.lose("one", alive)
+		r.run(3 * time.Second)
+		return r
+	}
+	t.Run("half of a data centre stays without the one that leaves", func(t *testing.T) {
+		newCentre(7).assertMayLeave(t, true)
+		newCentre(6).assertMayLeave(t, false)
+	})
+	t.Run("those of a lost control instance count again", func(t *testing.T) {
+		r := newCentre(12)
+		r.lost[1] = true
+		r.run(3 * time.Second)
+		zfassert.True(t, "may leave", r.tables[0].MayLeave(name("one", 0), "one"))
+	})
+}
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -153,6 +153,18 @@
 		zfassert.True(t, "turn", assertAnswered(t, feed, stopping).Turn)
 		assertHeld(t, feed, args)
 	})
+	t.Run("so is one that waits for a permit to leave the rotation, but not one that renews it", func(t *testing.T) {
+		overloaded := args
+		overloaded.Ready = true
+		overloaded.StepOut = true
+		assertHeld(t, feed, overloaded)
+		s.stepOutPermitted = true
+		defer func() { s.stepOutPermitted = false }()
+		zfassert.True(t, "permit", assertAnswered(t, feed, overloaded).StepOut)
+		assertHeld(t, feed, args)
+		overloaded.Ready = false
+		assertHeld(t, feed, overloaded)
+	})
 	t.Run("a held fetch is answered at its deadline", func(t *testing.T) {
 		reply := make(chan zfcluster.FetchReply, 1)
 		feed.AddFetch(args, reply, start)
--- a/io/zfevent/event_test.go
+++ b/io/zfevent/event_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"zinniafront/io/zfevent"
 	"zinniafront/lab/zfassert"
@@ -47,3 +48,38 @@
 		zfassert.Contains(t, out.String(), part)
 	}
 }
+
+// blockedWriter is an output that takes nothing until it is released.
+type blockedWriter struct{ released chan struct{} }
+
+// Write implements io.Writer.
+func (w blockedWriter) Write(line []byte) (int, error) {
+	<-w.released
+	return len(line), nil
+}
+
+func TestBlockedWriter(t *testing.T) {
+	writer := blockedWriter{
+		released: make(chan struct{}),
+	}
+	logger := zfevent.New(zfevent.Config{
+		Output: writer,
+		Level:  "info",
+		Queue:  16,
+	})
+	logged := make(chan struct{})
+	go func() {
+		for range 1000 {
+			logger.Entry(zfevent.FlowOpened).Msg("")
+		}
+		close(logged)
+	}()
+	select {
+	case <-logged:
+	case <-time.After(10 * time.Second):
+		t.Error("logging waits for a log writer that blocks")
+	}
+	close(writer.released)
+	<-logged
+	logger.Close()
+}
--- a/io/zftraffic/decisionlog_test.go
+++ b/io/zftraffic/decisionlog_test.go
@@ -72,3 +72,37 @@
 		})
 	}
 }
+
+func TestStrainedDecisionLog(t *testing.T) {
+	var out bytes.Buffer
+	decisions := zftraffic.NewDecisionLog(zfevent.New(zfevent.Config{
+		Output: &out,
+		Level:  "info",
+	}), func(time.Time) (uint64, time.Duration) { return 1, 0 })
+	decisions.SetStrain(zf.StrainShort)
+	now := time.Unix(1000, 0)
+	// lines counts the lines of ten decisions a second, after those logged at once.
+	lines := func(action zf.Action, kind zf.PacketKind) int {
+		count := 0
+		for i := range 300 {
+			now = now.Add(100 * time.Millisecond)
+			out.Reset()
+			decisions.Log(zf.Packet{
+				Kind: kind,
+			}, zf.Verdict{
+				Action: action,
+			}, now)
+			if i >= 200 && out.Len() > 0 {
+				count++
+			}
+		}
+		return count
+	}
+	t.Run("a short processor logs one new flow a second", func(t *testing.T) {
+		lines(zf.ActionForward, zf.PacketOpening)
+		zfassert.Equal(t, "lines", lines(zf.ActionForward, zf.PacketOpening), 10)
+	})
+	t.Run("and each reset of an open flow", func(t *testing.T) {
+		zfassert.Equal(t, "lines", lines(zf.ActionReset, zf.PacketMidFlow), 100)
+	})
+}
--- a/io/zftraffic/socket_test.go
+++ b/io/zftraffic/socket_test.go
@@ -155,6 +155,42 @@
 	})
 }
 
+func TestOverload(t *testing.T) {
+	sink, source := listen(t), listen(t)
+	address, counters := freeAddress(t), zfcounter.New()
+	sockets, err := zftraffic.Listen(zftraffic.Config{
+		Traffic:  address,
+		Threads:  1,
+		Framing:  func() zf.Framing { return zfpacket.NewDecoder() },
+		Mapper:   newMapper(addressOf(sink)),
+		Clock:    zfclock.System{},
+		Counters: counters,
+		Admit:    func(packet zf.Packet) bool { return packet.Kind != zf.PacketOpening },
+	})
+	zfassert.NoError(t, err)
+	sockets.Start()
+	t.Cleanup(sockets.Close)
+	opening, err := zfsegment.Segment{
+		Source:      netip.MustParseAddrPort("10.0.0.1:1000"),
+		Destination: frontend,
+		SYN:         true,
+	}.Encode()
+	zfassert.NoError(t, err)
+	data := packet(t, 1)
+	for _, datagram := range [][]byte{opening, data} {
+		_, err = source.WriteToUDPAddrPort(datagram, address)
+		zfassert.NoError(t, err)
+	}
+	buffer := make([]byte, 2048)
+	n, _, err := sink.ReadFromUDPAddrPort(buffer)
+	zfassert.NoError(t, err)
+	zfassert.Equal(t, "packet of an open flow", buffer[:n], data)
+	dropped := counters.Registry.Get("packet.dropped.overloaded").(interface{ Count() int64 })
+	zfassert.Equal(t, "dropped opening packets", dropped.Count(), int64(1))
+	zfassert.Equal(t, "bytes received", counters.Link.Received.Count(), int64(len(opening)+len(data)))
+	zfassert.Equal(t, "bytes sent", counters.Link.Sent.Count(), int64(len(data)))
+}
+
 // bareRelay forwards every datagram without decoding it.
 func bareRelay(t testing.TB, to netip.AddrPort) netip.AddrPort {
 	t.Helper()
