Recognise overloads of instances whose every tick is late

Change: a measurement stands for half a second at most, also after a suspension. Result: a suspension still proves nothing; ticks that are all seconds late are an overload.

--- a/core/zfresource/table.go
+++ b/core/zfresource/table.go
@@ -18,9 +18,9 @@
 	// maxUse bounds a measurement, so that a single one, as after a suspension, is
 	// forgotten within seconds.
 	maxUse = 2
-	// maxGap is the time between two measurements from which the time in between proves
-	// nothing: the instance was suspended.
-	maxGap = time.Second
+	// maxElapsed bounds the time that a measurement stands for: after a suspension it
+	// proves little, but an instance so slow that all its ticks are late is overloaded.
+	maxElapsed = 500 * time.Millisecond
 )
 
 // MaxCalmUse is the use below which an instance without strain can take on a quarter more.
@@ -50,24 +50,25 @@
 // condition begins and ends by a threshold.
 type condition struct {
 	holds bool
-	// turningSince is since when the use has been beyond the bound that ends or begins
-	// the condition, or the zero value.
-	turningSince time.Time
+	// turning is how long the use has been beyond the bound that begins or ends the
+	// condition.
+	turning time.Duration
 }
 
-func (c *condition) update(use float64, t threshold, now time.Time) {
+// update records a use that lasted for a time.
+func (c *condition) update(use float64, lasted time.Duration, t threshold) {
 	turning, after := use >= t.enter, t.enterAfter
 	if c.holds {
 		turning, after = use < t.leave, t.leaveAfter
 	}
-	switch {
-	case !turning:
-		c.turningSince = time.Time{}
-	case c.turningSince.IsZero():
-		c.turningSince = now
-	case now.Sub(c.turningSince) >= after:
+	if !turning {
+		c.turning = 0
+		return
+	}
+	c.turning += lasted
+	if c.turning >= after {
 		c.holds = !c.holds
-		c.turningSince = time.Time{}
+		c.turning = 0
 	}
 }
 
@@ -127,16 +128,12 @@
 }
 
 func (r *row) record(use float64, now time.Time) {
-	elapsed := now.Sub(r.measured)
+	lasted := min(now.Sub(r.measured), maxElapsed)
 	r.measured = now
-	if elapsed >= maxGap {
-		r.short.turningSince = time.Time{}
-		r.overloaded.turningSince = time.Time{}
-	}
-	weight := 1 - math.Exp(-float64(min(elapsed, maxGap))/float64(smoothingTime))
+	weight := 1 - math.Exp(-float64(lasted)/float64(smoothingTime))
 	r.use += weight * (min(max(use, 0), maxUse) - r.use)
-	r.short.update(r.use, shortThreshold, now)
-	r.overloaded.update(r.use, overloadedThreshold, now)
+	r.short.update(r.use, lasted, shortThreshold)
+	r.overloaded.update(r.use, lasted, overloadedThreshold)
 }
 
 func (r *row) strain() zf.Strain {
