Take a second beyond the bound as an overload

Change: 1 s instead of 2 s; smoothing still takes 3 s to come near full use. Result: the tests of moments and suspensions hold.

--- a/core/zfresource/table.go
+++ b/core/zfresource/table.go
@@ -42,7 +42,7 @@
 	overloadedThreshold = threshold{
 		enter:      0.95,
 		leave:      0.75,
-		enterAfter: 2 * time.Second,
+		enterAfter: time.Second,
 		leaveAfter: 5 * time.Second,
 	}
 )
