Share the construction of loops among their tests

Cause: the test of late ticks repeated it. Change: newLoop and run in loop_test.go; the tests there are unchanged.

--- a/io/zfforwardloop/loop_test.go
+++ b/io/zfforwardloop/loop_test.go
@@ -12,6 +12,7 @@
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 	"zinniafront/io/zfforwardloop"
 	"zinniafront/lab/zfassert"
@@ -76,14 +77,13 @@
 	return m.Mapper.Tick(now, view)
 }
 
-// runLoop runs the loop of an entry instance until the test ends.
-func runLoop(t testing.TB, clock zf.Clock) (*zfforwardloop.Loop, *countingMapper) {
-	t.Helper()
+// newLoop returns the loop of an entry instance that doesn't run yet. meter may be nil.
+func newLoop(clock zf.Clock, meter zf.Meter) (*zfforwardloop.Loop, *countingMapper) {
 	cookies := zfcookie.New(zfcookie.Config{})
 	mapper := &countingMapper{
 		Mapper: cookies,
 	}
-	loop := zfforwardloop.New(zfforwardloop.Config{
+	return zfforwardloop.New(zfforwardloop.Config{
 		World: zfforward.New(zfforward.Config{
 			Self:     "e1",
 			Centre:   "one",
@@ -97,11 +97,25 @@
 			Output: io.Discard,
 			Level:  "error",
 		}),
-	})
+		Meter:    meter,
+		Counters: zfcounter.New(),
+	}), mapper
+}
+
+// run runs a loop until the test ends.
+func run(t testing.TB, loop *zfforwardloop.Loop) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go loop.Run(ctx)
 	loop.FetchState(false) // Returns once the loop runs and has its first timer.
+}
+
+// runLoop runs the loop of an entry instance until the test ends.
+func runLoop(t testing.TB, clock zf.Clock) (*zfforwardloop.Loop, *countingMapper) {
+	t.Helper()
+	loop, mapper := newLoop(clock, nil)
+	run(t, loop)
 	return loop, mapper
 }
 
--- a/io/zfforwardloop/strain_test.go
+++ b/io/zfforwardloop/strain_test.go
@@ -1,17 +1,10 @@
 package zfforwardloop_test
 
 import (
-	"context"
-	"io"
 	"testing"
 	"time"
 
 	zf "zinniafront"
-	"zinniafront/core/zfcookie"
-	"zinniafront/core/zfforward"
-	"zinniafront/core/zfregistry"
-	"zinniafront/io/zfcounter"
-	"zinniafront/io/zfevent"
 	"zinniafront/io/zfforwardloop"
 	"zinniafront/lab/zfassert"
 )
@@ -26,28 +19,10 @@
 // ten seconds, and returns the strain that it reports last.
 func runStrained(t testing.TB, meter zf.Meter, late time.Duration) (*zfforwardloop.Loop, zf.Strain) {
 	t.Helper()
-	clock, mapper := newManualClock(), zfcookie.New(zfcookie.Config{})
-	loop := zfforwardloop.New(zfforwardloop.Config{
-		World: zfforward.New(zfforward.Config{
-			Mapper:   mapper,
-			Observer: mapper,
-			Registry: zfregistry.DefaultConfig(1, time.Second),
-		}),
-		Source: 1,
-		Clock:  clock,
-		Logger: zfevent.New(zfevent.Config{
-			Output: io.Discard,
-			Level:  "error",
-		}),
-		Meter:    meter,
-		Counters: zfcounter.New(),
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	strain := zf.StrainNone
+	clock, strain := newManualClock(), zf.StrainNone
+	loop, _ := newLoop(clock, meter)
 	loop.OnStrainChanged(func(changed zf.Strain) { strain = changed })
-	go loop.Run(ctx)
-	loop.FetchState(false)
+	run(t, loop)
 	for range int(10 * time.Second / (tickInterval + late)) {
 		clock.advance(tickInterval + late)
 		loop.FetchState(false)
