Name larger instances first to those that reach no control instance

Cause: fetching from another entry instance was spread over small and large ones alike. Change: fetches carry the instance's processor share; replies name the largest peers of the data centre first, overloaded ones last. Result: TestPeersBySize; with equal or unknown sizes the order is as before.

--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -152,6 +152,7 @@
 	subscriber := zfcluster.NewSubscriber(zfcluster.SubscriberConfig{
 		Instance:   p.Settings.Name,
 		Centre:     p.Settings.Centre,
+		Size:       p.Settings.Resources.Processor,
 		Address:    p.Settings.Listen.Advertise,
 		Seeds:      zfcluster.PeerAddresses(p.Settings.Platform.Seeds, p.Settings.Listen.Advertise),
 		Clock:      p.Factory.Clock,
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -1,6 +1,7 @@
 package zfcluster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -91,6 +92,8 @@
 type subscriberRow struct {
 	centre    zf.CentreName
 	lastFetch time.Time
+	// size is the instance's share of a core, or 0 if it is not known or overloaded.
+	size float64
 }
 
 // FeedConfig holds what a feed is built from.
@@ -199,10 +202,14 @@
 		args.Cursor = 0
 	}
 	if args.Address.IsValid() && !args.Control {
-		f.subscribers[args.Address] = subscriberRow{
+		row := subscriberRow{
 			centre:    args.Centre,
 			lastFetch: now,
 		}
+		if args.Strain != zf.StrainOverloaded {
+			row.size = args.Size
+		}
+		f.subscribers[args.Address] = row
 	}
 	args.Rows = nil
 	args.Outcomes = nil
@@ -295,7 +302,7 @@
 }
 
 // peers removes expired subscribers and returns a few others than the sender, those in
-// its data centre first. A control instance of the same data centre gets all
+// its data centre first, the largest ones of these before smaller ones. A control instance of the same data centre gets all
 // subscribers of this feed.
 func (f *Feed) peers(args FetchArgs, now time.Time) []netip.AddrPort {
 	if !f.config.SharePeers {
@@ -323,7 +330,25 @@
 		isSender := func(address netip.AddrPort) bool { return address == args.Address }
 		others = slices.DeleteFunc(others, isSender)
 	}
-	return append(ringAfter(sameCentre, args.Address, maxCentrePeers), ringAfter(others, args.Address, maxOtherPeers)...)
+	return append(f.largestAfter(sameCentre, args.Address), ringAfter(others, args.Address, maxOtherPeers)...)
+}
+
+// largestAfter returns up to maxCentrePeers subscribers, larger ones first and those of the
+// same size as ringAfter does. Where sizes differ, small instances are not asked while
+// larger ones answer.
+func (f *Feed) largestAfter(addresses []netip.AddrPort, address netip.AddrPort) []netip.AddrPort {
+	bySize := make(map[float64][]netip.AddrPort)
+	for _, a := range addresses {
+		size := f.subscribers[a].size
+		bySize[size] = append(bySize[size], a)
+	}
+	sizes := slices.Sorted(maps.Keys(bySize))
+	slices.Reverse(sizes)
+	var largest []netip.AddrPort
+	for _, size := range sizes {
+		largest = append(largest, ringAfter(bySize[size], address, maxCentrePeers-len(largest))...)
+	}
+	return largest
 }
 
 // ringAfter returns up to limit addresses that follow one in sorted order, with
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -323,6 +323,34 @@
 	}
 }
 
+func TestPeersBySize(t *testing.T) {
+	feed := newFeed(newTestFeedData())
+	// peersOf has eight instances fetch, the last two of them three times as large, and
+	// returns those that the first is told of.
+	peersOf := func(strain zf.Strain) []netip.AddrPort {
+		for i := 8; i >= 1; i-- {
+			args := subscriberArgs(i, "one")
+			args.Size = 0.16
+			if i >= 7 {
+				args.Size = 0.48
+				args.Strain = strain
+			}
+			if i == 1 {
+				return assertAnswered(t, feed, args).Peers
+			}
+			assertAnswered(t, feed, args)
+		}
+		return nil
+	}
+	address := func(i int) netip.AddrPort { return subscriberArgs(i, "one").Address }
+	t.Run("larger instances are named first", func(t *testing.T) {
+		zfassert.Equal(t, "peers", peersOf(zf.StrainNone), []netip.AddrPort{address(7), address(8), address(2)})
+	})
+	t.Run("unless they are overloaded", func(t *testing.T) {
+		zfassert.Equal(t, "peers", peersOf(zf.StrainOverloaded), []netip.AddrPort{address(2), address(3), address(4)})
+	})
+}
+
 func TestPeers(t *testing.T) {
 	feed := newFeed(newTestFeedData())
 	for i := range 6 {
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -110,6 +110,8 @@
 	// requests a permit to leave the rotation until they do.
 	Strain  zf.Strain
 	StepOut bool
+	// Size is the sender's share of a core, or 0 if it is not known.
+	Size float64
 	// Hold is how long the reply may be held back while there are no changes.
 	Hold time.Duration
 }
--- a/io/zfcluster/subscriber.go
+++ b/io/zfcluster/subscriber.go
@@ -45,6 +45,8 @@
 type SubscriberConfig struct {
 	Instance zf.InstanceName
 	Centre   zf.CentreName
+	// Size is this instance's share of a core, or 0 if it is not known.
+	Size float64
 	// Address is where this instance answers fetches.
 	Address netip.AddrPort
 	// Seeds are possible addresses of control instances.
@@ -270,6 +272,7 @@
 		Able:     state.Able,
 		Strain:   state.Strain,
 		StepOut:  state.StepOut,
+		Size:     s.config.Size,
 		Hold:     hold,
 	}
 	s.progress.Request(&args)
