--- a/io/zfforwardloop/strain.go
+++ b/io/zfforwardloop/strain.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// measureInterval is the minimum time between two measurements of resources.
-	measureInterval = 200 * time.Millisecond
+	// measureInterval is the minimum time between two measurements of resources,
+	// idleMeasureInterval the same while the use of each was under idleUse.
+	measureInterval     = 200 * time.Millisecond
+	idleMeasureInterval = 500 * time.Millisecond
+	idleUse             = 0.5
 	// maxLateness is the lateness of a tick that counts as full use of the queue: callers
 	// send an opening packet again after that time, which adds to the load.
 	maxLateness = 200 * time.Millisecond
@@ -18,6 +21,8 @@
 // resourceState is what the control goroutine keeps of measurements.
 type resourceState struct {
 	measured time.Time
+	// interval is the time until the next measurement.
+	interval time.Duration
 	// lateness is the greatest lateness of a tick since the last measurement.
 	lateness time.Duration
 	// strain and steppedOut are the states last logged.
@@ -41,7 +46,7 @@
 	}
 	state := &l.resources
 	state.lateness = max(state.lateness, late)
-	if now.Sub(state.measured) < measureInterval {
+	if now.Sub(state.measured) < state.interval {
 		return
 	}
 	state.measured = now
@@ -50,6 +55,12 @@
 		Use:      float64(state.lateness) / float64(maxLateness),
 	})
 	state.lateness = 0
+	state.interval = idleMeasureInterval
+	for _, use := range uses {
+		if use.Use >= idleUse {
+			state.interval = measureInterval
+		}
+	}
 	l.config.World.MeasureResources(uses, now)
 	l.recordUses()
 }
