--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -27,6 +27,8 @@
 	departures    []zf.Departure
 	stopPermitted bool
 	mustWait      bool
+
+	stepOutPermitted bool
 }
 
 func newTestFeedData() *testFeedData {
@@ -64,6 +66,10 @@
 	return s.departures, len(s.departures) > 0
 }
 
+func (s *testFeedData) StepOutPermitted(zf.InstanceName, zf.CentreName, time.Time) bool {
+	return s.stepOutPermitted
+}
+
 func (s *testFeedData) StopPermitted(zf.InstanceName, time.Time) bool { return s.stopPermitted }
 
 func (s *testFeedData) MayEnter(zf.InstanceName, zf.CentreName) bool { return !s.mustWait }
@@ -155,6 +161,18 @@
 		zfassert.True(t, "turn", assertAnswered(t, feed, stopping).Turn)
 		assertHeld(t, feed, args)
 	})
+	t.Run("so is one that waits for a permit to leave the rotation, but not one that renews it", func(t *testing.T) {
+		overloaded := args
+		overloaded.Ready = true
+		overloaded.StepOut = true
+		assertHeld(t, feed, overloaded)
+		s.stepOutPermitted = true
+		defer func() { s.stepOutPermitted = false }()
+		zfassert.True(t, "permit", assertAnswered(t, feed, overloaded).StepOut)
+		assertHeld(t, feed, args)
+		overloaded.Ready = false
+		assertHeld(t, feed, overloaded)
+	})
 	t.Run("a held fetch is answered at its deadline", func(t *testing.T) {
 		reply := make(chan zfcluster.FetchReply, 1)
 		feed.AddFetch(args, reply, start)
@@ -313,6 +331,34 @@
 	}
 }
 
+func TestPeersBySize(t *testing.T) {
+	feed := newFeed(newTestFeedData())
+	// peersOf has eight instances fetch, the last two of them three times as large, and
+	// returns those that the first is told of.
+	peersOf := func(strain zf.Strain) []netip.AddrPort {
+		for i := 8; i >= 1; i-- {
+			args := subscriberArgs(i, "one")
+			args.Size = 0.16
+			if i >= 7 {
+				args.Size = 0.48
+				args.Strain = strain
+			}
+			if i == 1 {
+				return assertAnswered(t, feed, args).Peers
+			}
+			assertAnswered(t, feed, args)
+		}
+		return nil
+	}
+	address := func(i int) netip.AddrPort { return subscriberArgs(i, "one").Address }
+	t.Run("larger instances are named first", func(t *testing.T) {
+		zfassert.Equal(t, "peers", peersOf(zf.StrainNone), []netip.AddrPort{address(7), address(8), address(2)})
+	})
+	t.Run("unless they are overloaded", func(t *testing.T) {
+		zfassert.Equal(t, "peers", peersOf(zf.StrainOverloaded), []netip.AddrPort{address(2), address(3), address(4)})
+	})
+}
+
 func TestPeers(t *testing.T) {
 	feed := newFeed(newTestFeedData())
 	for i := range 6 {
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -165,6 +165,7 @@
 	l.logChanges()
 	l.logOutliers()
 	l.logDepartures()
+	l.logStepOuts()
 }
 
 // enqueue adds an event to the inbox and waits while the inbox is full. It returns
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -33,9 +33,12 @@
 	// Decode parses the bundle of a control state's document.
 	Decode func(document []byte) (*zfbundle.Bundle, error)
 	// Source identifies this run of the process to its subscribers.
-	Source   uint64
-	Clock    zf.Clock
-	Logger   *zfevent.Logger
+	Source uint64
+	Clock  zf.Clock
+	Logger *zfevent.Logger
+	// Meter measures the use of resources; it is nil if the settings state none.
+	Meter zf.Meter
+	// Counters count the changes of verdicts and hold the gauges of resources.
 	Counters *zfcounter.Set
 }
 
@@ -53,8 +56,11 @@
 	flowsEndedHandler func(ended []zf.EndedFlow)
 	// routableHandler is called once the mapper can route packets.
 	routableHandler func()
-	feed            *zfcluster.Feed
-	quorum          quorumStatus
+	// strainHandler receives each change of the strain.
+	strainHandler func(strain zf.Strain)
+	resources     resourceState
+	feed          *zfcluster.Feed
+	quorum        quorumStatus
 	// ready and index are copies of the world's fields for other goroutines.
 	ready atomic.Bool
 	index atomic.Uint64
@@ -125,12 +131,15 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	for {
+		due := l.config.Clock.Now().Add(tickInterval)
 		tick, release := l.config.Clock.After(tickInterval)
 		if !l.applyUntil(ctx, tick) {
 			release()
 			return
 		}
-		l.config.World.Tick(l.config.Clock.Now())
+		now := l.config.Clock.Now()
+		l.measure(now.Sub(due), now)
+		l.config.World.Tick(now)
 		l.flush()
 	}
 }
@@ -231,6 +240,8 @@
 		state.Ready = l.config.World.Ready()
 		state.Able = l.config.World.Able()
 		state.Stopping = l.config.World.StopPending()
+		state.Strain = l.config.World.Strain()
+		state.StepOut = l.config.World.StepOutRequested()
 		state.Outcomes = l.config.World.Outcomes()
 		state.Loads = l.config.World.Loads(now)
 		if withDigests {
@@ -323,6 +334,7 @@
 		l.ready.Store(ready)
 		l.config.Logger.Entry(zfevent.ReadyChanged).Bool("ready", ready).Bool("isolated", world.Isolated()).Msg("")
 	}
+	l.publishStrain()
 	if waiting := world.WaitsToEnter(); waiting != l.loggedWaiting {
 		l.loggedWaiting = waiting
 		l.config.Logger.Entry(zfevent.EntryWaits).Bool("waits", waiting).Msg("")
