Add the admission of new flows by the room of their service

Change: core/zfadmission. Table derives, for each service, the share of new flows that is admitted from the sums of all data centres; Callers applies it to opening packets, lower priorities first and fairly over callers. Nothing uses them yet.

--- /dev/null
+++ b/core/zfadmission/plan.go
@@ -0,0 +1,159 @@
+package zfadmission
+
+import (
+	"math"
+
+	zf "zinniafront"
+)
+
+const (
+	// classCount is the number of priorities that are told apart; lower ones share the
+	// last class.
+	classCount = 8
+	// classFloor is the share of each priority's openings that is admitted while higher
+	// ones have room. It is at most minShare.
+	classFloor = minShare
+	// retryBudget is the share of the admitted flows that may be retries while other
+	// openings would fill the room.
+	retryBudget = 0.1
+	// minSample is the decayed count of openings below which callers are not told apart.
+	minSample = 3
+)
+
+// plan is the immutable result of a tick. The traffic goroutines read it.
+type plan struct {
+	services map[zf.ServiceName]*servicePlan
+}
+
+// servicePlan holds the limits of one service by class.
+type servicePlan struct {
+	service *service
+	limits  [classCount]classLimit
+}
+
+// classLimit is the limit of one class.
+type classLimit struct {
+	// cap is the decayed count of openings up to which a caller's are all admitted. Of
+	// those of a caller above it, the part above is turned away.
+	cap float64
+	// retries is the factor for the retries of a caller above the cap.
+	retries float64
+}
+
+// admittedShare returns the share of a caller's openings that are admitted, where openings
+// is the caller's count with the current one.
+func (l classLimit) admittedShare(openings float64, retry bool) float64 {
+	switch {
+	case openings <= l.cap:
+		return 1
+	case retry:
+		return l.retries * l.cap / openings
+	default:
+		return l.cap / openings
+	}
+}
+
+// newServicePlan returns the limits by which a share of the openings of all callers is
+// admitted, lower priorities being turned away first.
+func newServicePlan(s *service, share float64, counts map[*class][]callerCount) *servicePlan {
+	p := &servicePlan{
+		service: s,
+	}
+	var openings [classCount]float64
+	total := 0.0
+	for i := range s.classes {
+		for _, count := range counts[&s.classes[i]] {
+			openings[i] += count.openings
+		}
+		total += openings[i]
+	}
+	admitted := allotByPriority(openings, share*total)
+	spare := share * total
+	for i := range s.classes {
+		switch {
+		case total < minSample:
+			p.limits[i] = uniformLimit(share)
+		case openings[i] < minSample:
+			p.limits[i] = uniformLimit(min(max((spare-classFloor*total)/(openings[i]+1), classFloor), 1))
+		default:
+			p.limits[i] = newClassLimit(counts[&s.classes[i]], openings[i], admitted[i])
+		}
+		spare -= admitted[i]
+		total -= openings[i]
+	}
+	return p
+}
+
+// uniformLimit returns the limit that admits a share of the openings of callers that have
+// one opening each.
+func uniformLimit(share float64) classLimit {
+	return classLimit{
+		cap:     share,
+		retries: 1,
+	}
+}
+
+// allotByPriority distributes the admitted openings over the classes: first the floor of
+// each, then the remainder in order of priority.
+func allotByPriority(openings [classCount]float64, admitted float64) [classCount]float64 {
+	var allotted [classCount]float64
+	for i, count := range openings {
+		allotted[i] = min(classFloor*count, admitted)
+		admitted -= allotted[i]
+	}
+	for i, count := range openings {
+		more := min(count-allotted[i], admitted)
+		allotted[i] += more
+		admitted -= more
+	}
+	return allotted
+}
+
+// newClassLimit returns the limit by which the given number of openings is admitted.
+func newClassLimit(counts []callerCount, openings, admitted float64) classLimit {
+	if admitted >= openings {
+		return classLimit{
+			cap:     math.Inf(1),
+			retries: 1,
+		}
+	}
+	retries := 0.0
+	for _, count := range counts {
+		retries += count.retries
+	}
+	limit := classLimit{
+		retries: 1,
+	}
+	if retries > 0 {
+		first := openings - retries
+		limit.retries = min(max(admitted-first, retryBudget*admitted)/retries, 1)
+	}
+	low, high := 0.0, 1.0
+	for _, count := range counts {
+		high = max(high, count.openings+1)
+	}
+	for range capPrecision {
+		limit.cap = (low + high) / 2
+		if limit.expected(counts) > admitted {
+			high = limit.cap
+		} else {
+			low = limit.cap
+		}
+	}
+	limit.cap = low
+	return limit
+}
+
+// capPrecision is the number of bisections for a cap.
+const capPrecision = 20
+
+// expected returns the number of openings that the limit admits. A caller's count at an
+// opening is by that opening above its mean.
+func (l classLimit) expected(counts []callerCount) float64 {
+	sum := 0.0
+	for _, count := range counts {
+		sum += (count.openings - count.retries) * l.admittedShare(count.openings+1, false)
+		sum += count.retries * l.admittedShare(count.openings+1, true)
+	}
+	return sum
+}
--- /dev/null
+++ b/core/zfadmission/table_test.go
@@ -0,0 +1,201 @@
+package zfadmission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfadmission"
+	"zinniafront/core/zfbundle"
+	"zinniafront/lab/zfassert"
+)
+
+const length = 40 * time.Second
+
+func assertAtLeast(t testing.TB, what string, got, bound float64) {
+	t.Helper()
+	zfassert.True(t, fmt.Sprintf("%s: %.3f, at least %g", what, got, bound), got >= bound)
+}
+
+// assertServed checks the share of a kind's requests that were served in time.
+func assertServed(t testing.TB, k *kind, share float64) {
+	t.Helper()
+	assertAtLeast(t, fmt.Sprintf("share of %s, priority %d, served in time", k.service, k.priority), k.inTime/k.requests, share)
+}
+
+func assertChanges(t testing.TB, d *deployment, bound float64) {
+	t.Helper()
+	zfassert.AtMost(t, "changes of limits", float64(len(d.changes)), bound)
+}
+
+func TestHotKind(t *testing.T) {
+	for _, times := range []float64{2, 5} {
+		for _, longest := range []time.Duration{4 * service, time.Second} {
+			t.Run(fmt.Sprintf("%g times the room, a queue of %s", times, longest), func(t *testing.T) {
+				hot := &kind{service: "orders", callers: 200, rate: constant(400 * times)}
+				d := newDeployment(hot)
+				d.pools["orders"].longest = longest
+				d.settled = 15 * time.Second
+				d.run(length)
+				assertAtLeast(t, "share of the room that serves in time", hot.inTime/25/400, 0.9)
+				assertAtLeast(t, "share of those admitted that are served in time", hot.inTime/(hot.requests-hot.turnedAway), 0.95)
+				assertChanges(t, d, 12)
+			})
+		}
+	}
+}
+
+func TestBusyCaller(t *testing.T) {
+	others := &kind{service: "orders", callers: 100, rate: constant(300)}
+	busy := &kind{service: "orders", callers: 1, rate: constant(150)}
+	d := newDeployment(others, busy)
+	d.settled = 10 * time.Second
+	d.run(length)
+	t.Run("a caller with 50 times the flows doesn't crowd out others", func(t *testing.T) {
+		zfassert.AtMost(t, "share of the others turned away", others.turnedAway/others.requests, 0.01)
+		assertServed(t, others, 0.99)
+	})
+	t.Run("it gets the room that is left", func(t *testing.T) {
+		assertAtLeast(t, "share of the room that serves in time", (others.inTime+busy.inTime)/30/400, 0.9)
+	})
+}
+
+func TestPriorities(t *testing.T) {
+	high := &kind{service: "orders", priority: 0, callers: 100, rate: constant(250)}
+	low := &kind{service: "orders", priority: 2, callers: 100, rate: constant(500)}
+	d := newDeployment(high, low)
+	d.settled = 10 * time.Second
+	d.run(length)
+	t.Run("the low priority gives way", func(t *testing.T) { assertServed(t, high, 0.99) })
+	t.Run("and gets what is left", func(t *testing.T) { assertServed(t, low, 0.2) })
+}
+
+func TestOpenFlows(t *testing.T) {
+	open := &kind{service: "orders", callers: 100, rate: constant(250), open: true}
+	hot := &kind{service: "orders", callers: 100, rate: constant(800)}
+	d := newDeployment(open, hot)
+	d.settled = 15 * time.Second
+	d.run(length)
+	t.Run("new flows get the room that open flows leave", func(t *testing.T) {
+		assertServed(t, open, 0.99)
+		assertAtLeast(t, "share of the room that serves in time", (open.inTime+hot.inTime)/25/400, 0.9)
+	})
+	assertChanges(t, d, 12)
+}
+
+func TestOtherService(t *testing.T) {
+	hot := &kind{service: "orders", callers: 100, rate: constant(2000)}
+	other := &kind{service: "menus", callers: 100, rate: constant(300)}
+	newDeployment(hot, other).run(length)
+	zfassert.Equal(t, "flows of the other service turned away", other.turnedAway, 0.0)
+	assertServed(t, other, 0.99)
+}
+
+func TestLoadAtTheRoom(t *testing.T) {
+	for _, share := range []float64{0.9, 0.95, 1, 1.05, 1.1} {
+		t.Run(fmt.Sprintf("%g of the room", share), func(t *testing.T) {
+			k := &kind{service: "orders", callers: 100, rate: constant(400 * share)}
+			d := newDeployment(k).run(length)
+			assertChanges(t, d, 12)
+			assertAtLeast(t, "share of the room that serves in time", k.inTime/length.Seconds()/400, 0.9*min(share, 1))
+		})
+	}
+}
+
+func TestReturn(t *testing.T) {
+	t.Run("a burst of 300 ms", func(t *testing.T) {
+		k := &kind{service: "orders", callers: 100, rate: raised(300, 3, 5500*time.Millisecond, 5800*time.Millisecond)}
+		newDeployment(k).run(length)
+		zfassert.Equal(t, "requests turned away", k.turnedAway, 0.0)
+	})
+	t.Run("all callers return after an outage of 1 s", func(t *testing.T) {
+		k := &kind{service: "orders", callers: 100, rate: raised(320, 2, 6*time.Second, 7*time.Second)}
+		d := newDeployment(k)
+		d.out = func(at time.Duration) bool { return at >= 5*time.Second && at < 6*time.Second }
+		d.settled = 7 * time.Second
+		d.run(length)
+		assertServed(t, k, 0.98)
+		zfassert.Equal(t, "limits at the end", len(d.table.Limits()), 0)
+	})
+	t.Run("the limit ends after a burst of 10 s", func(t *testing.T) {
+		k := &kind{service: "orders", callers: 100, rate: raised(200, 5, 5*time.Second, 15*time.Second)}
+		d := newDeployment(k)
+		d.settled = 21 * time.Second
+		d.run(length)
+		zfassert.Equal(t, "requests turned away", k.turnedAway, 0.0)
+		assertChanges(t, d, 10)
+	})
+}
+
+func TestSums(t *testing.T) {
+	t.Run("nothing is turned away by sums that are old", func(t *testing.T) {
+		k := &kind{service: "orders", callers: 100, rate: constant(800)}
+		d := newDeployment(k)
+		d.stale = func(at time.Duration) bool { return at > 10*time.Second }
+		d.settled = 16 * time.Second
+		d.run(length)
+		zfassert.Equal(t, "requests turned away", k.turnedAway, 0.0)
+	})
+	for _, c := range []struct {
+		name  string
+		rooms []zf.ServiceRoom
+		want  int
+	}{
+		{
+			name:  "none",
+			rooms: nil,
+		},
+		{
+			name:  "none of the own data centre",
+			rooms: []zf.ServiceRoom{room("two", 100, 500)},
+		},
+		{
+			name:  "room in another data centre",
+			rooms: []zf.ServiceRoom{room("one", 100, 500), room("two", 500, 50)},
+		},
+		{
+			name:  "no room in any",
+			rooms: []zf.ServiceRoom{room("one", 100, 500), room("two", 100, 100)},
+			want:  1,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			zfassert.Equal(t, "limits", len(limitsAfter(c.rooms, target)), c.want)
+		})
+	}
+	t.Run("a service whose routes state no target has no limit", func(t *testing.T) {
+		zfassert.Equal(t, "limits", len(limitsAfter([]zf.ServiceRoom{room("one", 100, 500)}, 0)), 0)
+	})
+}
+
+func room(centre zf.CentreName, room, demand float64) zf.ServiceRoom {
+	return zf.ServiceRoom{
+		Service: "orders",
+		Centre:  centre,
+		Room:    room,
+		Demand:  demand,
+		Wait:    time.Second,
+	}
+}
+
+// limitsAfter returns the limits after some seconds with the same figures.
+func limitsAfter(rooms []zf.ServiceRoom, target time.Duration) []zf.AdmissionLimit {
+	table := zfadmission.New("one")
+	for at := time.Duration(0); at < 5*time.Second; at += 50 * time.Millisecond {
+		table.Tick(start.Add(at), rooms, []zfbundle.Route{{
+			Target:  target,
+			Targets: []zf.RouteTarget{{Service: "orders", Weight: 1}},
+		}})
+	}
+	return table.Limits()
+}
+
+func TestUnevenInstances(t *testing.T) {
+	k := &kind{service: "orders", callers: 200, rate: constant(1200)}
+	d := newDeployment(k)
+	d.weights = []float64{0.9, 0.1}
+	d.settled = 15 * time.Second
+	d.run(length)
+	assertAtLeast(t, "share of the room that serves in time", k.inTime/25/400, 0.9)
+}
