Turn new flows away at entry instances by the limits of control instances

Change: control instances tick the table of zfadmission if load.admission is set, log its changes (3021) and send the limits with the total loads; entry instances keep them for 5 s after the last such reply, and the mapper asks its admission before it chooses a backend server. Admission.Admit takes the opening by value: a pointer passed to an interface is allocated for each packet.

--- a/core/zfadmission/callers.go
+++ b/core/zfadmission/callers.go
@@ -93,7 +93,7 @@
 }
 
 // Admit implements zinniafront.Admission.
-func (c *Callers) Admit(opening *zf.Opening, now time.Time) bool {
+func (c *Callers) Admit(opening zf.Opening, now time.Time) bool {
 	current := c.current.Load()
 	if current == nil {
 		return true
@@ -104,9 +104,9 @@
 	}
 	i := min(max(opening.Priority, 0), classCount-1)
 	if opening.Retransmissions > 0 {
-		return c.admitCopy(opening, &p.service.classes[i], now.UnixNano())
+		return c.admitCopy(&opening, &p.service.classes[i], now.UnixNano())
 	}
-	admitted := c.admitFirst(opening, &p.service.classes[i], p.limits[i], now.UnixNano())
+	admitted := c.admitFirst(&opening, &p.service.classes[i], p.limits[i], now.UnixNano())
 	c.refused.record(opening.Hash, !admitted)
 	return admitted
 }
--- a/core/zfadmission/callers_test.go
+++ b/core/zfadmission/callers_test.go
@@ -27,8 +27,8 @@
 }
 
 // opening returns an opening packet of a caller.
-func opening(caller int, hash uint64, retransmissions int) *zf.Opening {
-	return &zf.Opening{
+func opening(caller int, hash uint64, retransmissions int) zf.Opening {
+	return zf.Opening{
 		Flow: zf.Flow{
 			Source: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(caller >> 8), byte(caller)}), 1000),
 		},
@@ -130,6 +130,9 @@
 		callers.Tick(start.Add(time.Duration(i)*time.Second), limits(0.5)[:i%2])
 	}
 	traffic.Wait()
+	for _, count := range callers.Counts() {
+		zfassert.AtMost(t, "openings counted", float64(count.Admitted+count.Refused), 20000)
+	}
 }
 
 func TestAllocations(t *testing.T) {
@@ -153,7 +156,7 @@
 		},
 	} {
 		b.Run(c.name, func(b *testing.B) {
-			openings := make([]*zf.Opening, 1024)
+			openings := make([]zf.Opening, 1024)
 			for i := range openings {
 				openings[i] = opening(i, uint64(i)<<40, 0)
 			}
--- a/core/zfadmission/load_test.go
+++ b/core/zfadmission/load_test.go
@@ -211,8 +211,8 @@
 	return false, admitted
 }
 
-func (d *deployment) opening(k *kind, caller netip.Addr) *zf.Opening {
-	return &zf.Opening{
+func (d *deployment) opening(k *kind, caller netip.Addr) zf.Opening {
+	return zf.Opening{
 		Flow: zf.Flow{
 			Source: netip.AddrPortFrom(caller, 1000),
 		},
--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	zf "zinniafront"
+	"zinniafront/core/zfadmission"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfcontrol"
 	"zinniafront/core/zfload"
@@ -33,6 +34,8 @@
 	Outlier  zfoutlier.Config
 	// Decode returns the bundle of a document as stored in the control state.
 	Decode func(document []byte) (*zfbundle.Bundle, error)
+	// Admission is set if new flows are turned away that can't be served in time.
+	Admission bool
 }
 
 const (
@@ -114,6 +117,8 @@
 	// services are those of the bundle with servicesVersion.
 	services        map[zf.ServiceName]bool
 	servicesVersion uint64
+	admission       *zfadmission.Table
+	routes          routesInForce
 }
 
 // New returns a world.
@@ -126,6 +131,7 @@
 		loads:       zfload.New(),
 		stopPermits: zfpermit.New(),
 		rotation:    zfrotation.New(),
+		admission:   zfadmission.New(config.Quorum.Self.Centre),
 
 		peerContact: make(map[netip.AddrPort]time.Time),
 	}
@@ -184,6 +190,7 @@
 	w.stopPermits.Tick(now)
 	w.rotation.Tick(now)
 	w.detectOutliers(now)
+	w.limitAdmission(now)
 	w.advanceOperations(now)
 }
 
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -20,6 +20,9 @@
 type Config struct {
 	// Seed is the seed of the hash that spreads flows over backend servers.
 	Seed uint64
+	// Admission decides which new flows are turned away for lack of room, or is nil if
+	// none are.
+	Admission zf.Admission
 }
 
 // Mapper implements zinniafront.Mapper and zinniafront.Observer.
@@ -116,6 +119,9 @@
 
 type route struct {
 	targets []target
+	// targetLatency and priority are those of the route's view.
+	targetLatency time.Duration
+	priority      int
 	// total is the sum of the weights of all targets.
 	total uint64
 }
@@ -128,6 +134,7 @@
 
 // pool holds the backend servers of a service that take new flows.
 type pool struct {
+	service zf.ServiceName
 	// tiers holds the backend servers in order of preference.
 	tiers [tierCount][]*server
 }
@@ -208,6 +215,9 @@
 		m.endFlows(now)
 		m.detectUnresponsiveCentres(now)
 	}
+	if m.config.Admission != nil {
+		m.config.Admission.Tick(now, view.Limits)
+	}
 	if view.RoutesKnown && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
 		m.publish(view, now)
@@ -258,7 +268,9 @@
 	}
 	for _, s := range next.cookies {
 		if pools[s.Service] == nil {
-			pools[s.Service] = &pool{}
+			pools[s.Service] = &pool{
+				service: s.Service,
+			}
 		}
 		pools[s.Service].add(s, view.Centre)
 	}
@@ -333,11 +345,16 @@
 }
 
 func newRoute(view zf.RouteView, pools map[zf.ServiceName]*pool) *route {
-	r := &route{}
+	r := &route{
+		targetLatency: view.Target,
+		priority:      view.Priority,
+	}
 	for _, t := range view.Targets {
 		p := pools[t.Service]
 		if p == nil {
-			p = &pool{}
+			p = &pool{
+				service: t.Service,
+			}
 		}
 		r.total += uint64(max(t.Weight, 0))
 		r.targets = append(r.targets, target{
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -123,6 +123,9 @@
 	if p == nil {
 		return reset(zf.ReasonNoServer)
 	}
+	if !m.admits(r, p, hash, packet, now) {
+		return reset(zf.ReasonNoRoom)
+	}
 	s := p.choose(openingPacket{
 		hash:            hash,
 		retransmissions: packet.Retransmissions,
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -91,6 +91,7 @@
 	entry    rotationEntry
 	// loadsReported is when the loads of backend servers were last reported.
 	loadsReported time.Time
+	limits        receivedLimits
 	viewRevisions revisions
 }
 
@@ -170,6 +171,7 @@
 	w.registry.Merge(reply.Changes, now)
 	if reply.Loads != nil {
 		w.config.Observer.SetTotalLoads(reply.Loads, now)
+		w.limits.replace(reply.Limits, now)
 	}
 	changed := reply.State != nil && reply.State.Index > w.state.Index
 	if changed {
@@ -238,6 +240,7 @@
 		w.view.Servers = w.limitColdServers(w.registry.View(w.state.Out), now)
 		w.view.Revision++
 	}
+	w.view.Limits = w.limits.inForce(now)
 	w.config.Mapper.Tick(now, w.view)
 }
 
--- a/io/command/zfservecmd/controller.go
+++ b/io/command/zfservecmd/controller.go
@@ -85,6 +85,8 @@
 		Registry: zfregistry.DefaultConfig(zfregistry.Source(p.Source), p.Settings.Platform.HeartbeatInterval),
 		Outlier:  zfoutlier.DefaultConfig(),
 		Decode:   p.Bundles.decode,
+
+		Admission: p.Settings.Load.Admission,
 	}, p.Factory.Clock.Now())
 	loop := zfcontrollerloop.New(zfcontrollerloop.Config{
 		World:       world,
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	zf "zinniafront"
+	"zinniafront/core/zfadmission"
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
@@ -62,10 +63,18 @@
 	)
 }
 
-func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, logger *zfevent.Logger) *zfforwardloop.Loop {
-	mapper := zfcookie.New(zfcookie.Config{
+func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger) *zfforwardloop.Loop {
+	config := zfcookie.Config{
 		Seed: flowSeed,
-	})
+	}
+	var admission *zfadmission.Callers
+	if settings.Load.Admission {
+		admission = zfadmission.NewCallers(zfadmission.Config{
+			Seed: uint64(source),
+		})
+		config.Admission = admission
+	}
+	mapper := zfcookie.New(config)
 	world := zfforward.New(zfforward.Config{
 		Self:     settings.Name,
 		Centre:   settings.Centre,
@@ -79,6 +88,9 @@
 		Decode: reader.decode,
 		Clock:  f.Clock,
 		Logger: logger,
+
+		Admission: admission,
+		Counters:  counters,
 	})
 }
 
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -32,6 +32,8 @@
 	// report, or the total loads, with those that other control instances report, if
 	// total is set.
 	Loads(total bool, now time.Time) []zf.ServerLoad
+	// Limits returns the limits for the new flows of this data centre's callers.
+	Limits() []zf.AdmissionLimit
 	// StopPermitted reports whether an entry instance that was asked to stop has a stop
 	// permit, and grants one if that is possible now.
 	StopPermitted(instance zf.InstanceName, now time.Time) bool
@@ -259,6 +261,9 @@
 	if f.isLocalControl(args) || f.config.SharePeers && args.Centre == f.config.Centre && args.Loads != nil {
 		reply.Loads = f.config.Data.Loads(!args.Control, now)
 	}
+	if reply.Loads != nil && !args.Control {
+		reply.Limits = f.config.Data.Limits()
+	}
 	if !args.Control && published.Index > args.Index {
 		reply.Document = published.Document
 		reply.Out = published.Out
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -56,6 +56,13 @@
 	return s.loads[:min(len(s.loads), 1)]
 }
 
+func (s *testFeedData) Limits() []zf.AdmissionLimit {
+	return []zf.AdmissionLimit{{
+		Service: "orders",
+		Share:   0.5,
+	}}
+}
+
 func (s *testFeedData) StopPermitted(zf.InstanceName, time.Time) bool { return s.stopPermitted }
 
 func (s *testFeedData) MayEnter(zf.InstanceName, zf.CentreName) bool { return !s.mustWait }
@@ -226,6 +233,8 @@
 		name string
 		args zfcluster.FetchArgs
 		want int
+		// limits is the number of limits for new flows.
+		limits int
 	}{
 		{
 			name: "a fetch that reports loads gets the total loads of the data centre",
@@ -233,7 +242,8 @@
 				Centre: "one",
 				Loads:  s.loads,
 			},
-			want: 2,
+			want:   2,
+			limits: 1,
 		},
 		{
 			name: "a fetch without loads gets none",
@@ -258,7 +268,9 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			zfassert.Equal(t, "loads", len(assertAnswered(t, feed, c.args).Loads), c.want)
+			reply := assertAnswered(t, feed, c.args)
+			zfassert.Equal(t, "loads", len(reply.Loads), c.want)
+			zfassert.Equal(t, "limits", len(reply.Limits), c.limits)
 		})
 	}
 }
--- a/io/zfcontrollerloop/feed.go
+++ b/io/zfcontrollerloop/feed.go
@@ -56,6 +56,9 @@
 	return d.world.Loads().Local(now)
 }
 
+// Limits implements zfcluster.FeedData.
+func (d feedData) Limits() []zf.AdmissionLimit { return d.world.Admission().Limits() }
+
 // StopPermitted implements zfcluster.FeedData.
 func (d feedData) StopPermitted(instance zf.InstanceName, now time.Time) bool {
 	return d.world.StopPermits().Acquire(instance, now)
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -130,6 +130,7 @@
 		}
 		now := l.config.Clock.Now()
 		l.config.World.Tick(now)
+		l.reportAdmission()
 		l.flush(now)
 	}
 }
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -70,6 +70,7 @@
 	// SubscribersSaveFailed only delays recovery after the next outage.
 	SubscribersSaveFailed = register(3018, "followers not saved", log.WarnLevel)
 	CommandUnconfirmed    = register(3019, "command to be confirmed", log.InfoLevel)
+	AdmissionChanged      = register(3021, "admission of new flows changed", log.WarnLevel)
 )
 
 // The events of an instance with the forward role, besides those of an entry instance.
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -57,6 +57,9 @@
 // Loads implements zfcluster.FeedData. Only control instances sum up loads.
 func (l *Loop) Loads(bool, time.Time) []zf.ServerLoad { return nil }
 
+// Limits implements zfcluster.FeedData. Only control instances decide on limits.
+func (l *Loop) Limits() []zf.AdmissionLimit { return nil }
+
 // StopPermitted implements zfcluster.FeedData. Every subscriber is permitted to stop:
 // without a control instance no stops are coordinated.
 func (l *Loop) StopPermitted(zf.InstanceName, time.Time) bool { return true }
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -11,10 +11,12 @@
 	"time"
 
 	zf "zinniafront"
+	"zinniafront/core/zfadmission"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
 	"zinniafront/io/zfcluster"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 )
 
@@ -35,6 +37,10 @@
 	Source uint64
 	Clock  zf.Clock
 	Logger *zfevent.Logger
+	// Admission is the admission of the world's mapper, or nil if it has none. Its counts
+	// are published as Counters.
+	Admission *zfadmission.Callers
+	Counters  *zfcounter.Set
 }
 
 // Loop is the control goroutine of an entry instance.
@@ -123,6 +129,9 @@
 			return
 		}
 		l.config.World.Tick(l.config.Clock.Now())
+		if l.config.Admission != nil {
+			l.config.Counters.SetAdmissions(l.config.Admission.Counts())
+		}
 		l.flush()
 	}
 }
