--- a/core/zfadmission/callers.go
+++ b/core/zfadmission/callers.go
@@ -70,11 +70,9 @@
 	c.limits = limits
 	c.lastPlan = now
 	counts := c.table.counts(now.UnixNano())
-	next := &plan{
-		services: make(map[zf.ServiceName]*servicePlan, len(limits)),
-	}
+	next := &plan{}
 	for _, limit := range limits {
-		next.services[limit.Service] = newServicePlan(c.serviceOf(limit.Service), limit.Share, counts)
+		next.services = append(next.services, newServicePlan(c.serviceOf(limit.Service), limit.Share, counts))
 	}
 	c.current.Store(next)
 }
@@ -98,7 +96,7 @@
 	if current == nil {
 		return true
 	}
-	p := current.services[opening.Service]
+	p := current.find(opening.Service)
 	if p == nil {
 		return true
 	}
--- a/core/zfadmission/plan.go
+++ b/core/zfadmission/plan.go
@@ -18,11 +18,24 @@
 	retryBudget = 0.1
 	// minSample is the decayed count of openings below which callers are not told apart.
 	minSample = 3
+	// minRefused is the decayed count of openings to be turned away below which none is.
+	minRefused = 0.01
 )
 
 // plan is the immutable result of a tick. The traffic goroutines read it.
 type plan struct {
-	services map[zf.ServiceName]*servicePlan
+	// services are few, so that a search is faster than a map.
+	services []*servicePlan
+}
+
+// find returns the limits of a service, or nil if it has none.
+func (p *plan) find(name zf.ServiceName) *servicePlan {
+	for _, s := range p.services {
+		if s.service.name == name {
+			return s
+		}
+	}
+	return nil
 }
 
 // servicePlan holds the limits of one service by class.
@@ -111,7 +124,7 @@
 
 // newClassLimit returns the limit by which the given number of openings is admitted.
 func newClassLimit(counts []callerCount, openings, admitted float64) classLimit {
-	if admitted >= openings {
+	if openings-admitted < minRefused {
 		return classLimit{
 			cap:     math.Inf(1),
 			retries: 1,
--- a/core/zfcookie/admission_test.go
+++ b/core/zfcookie/admission_test.go
@@ -61,3 +61,39 @@
 		zfassert.Equal(t, "reset", len(refusals(mapper, start)), 0)
 	})
 }
+
+func BenchmarkAdmission(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		limits []zf.AdmissionLimit
+	}{
+		{
+			name: "without a limit",
+		},
+		{
+			name: "with a limit",
+			limits: []zf.AdmissionLimit{{
+				Service: "orders",
+				Share:   1,
+			}},
+		},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			mapper, v := fullMapper(time.Second)
+			v.Limits = c.limits
+			for n := range uint64(148) {
+				v.Servers = append(v.Servers, row(n+3, "orders", "one"))
+			}
+			v.Revision++
+			mapper.Tick(start, v)
+			for port := range 4096 {
+				mapper.Route(opening(port, 0), start)
+			}
+			mapper.Tick(start.Add(time.Second), v)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				mapper.Route(opening(i%4096, 0), start)
+			}
+		})
+	}
+}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -30,6 +30,8 @@
 	config   Config
 	current  atomic.Pointer[snapshot]
 	requests requestTable
+	// limited is set while limits for new flows are in force.
+	limited atomic.Bool
 	// stats holds the statistics of each backend server. The map belongs to the control
 	// goroutine.
 	stats map[zf.ServerIncarnation]*serverStats
@@ -215,9 +217,7 @@
 		m.endFlows(now)
 		m.detectUnresponsiveCentres(now)
 	}
-	if m.config.Admission != nil {
-		m.config.Admission.Tick(now, view.Limits)
-	}
+	m.tickAdmission(now, view.Limits)
 	if view.RoutesKnown && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
 		m.publish(view, now)
