Count callers before a limit begins, and leave out data centres that are out

Rooms of data centres taken out counted as room. Change: a service whose demand exceeds its room has a limit of share 1; the share of retries is that of a caller's latest openings; Table.Tick reads the data centres taken out.

--- a/core/zfadmission/caller.go
+++ b/core/zfadmission/caller.go
@@ -38,10 +38,11 @@
 type callerRow struct {
 	address netip.Addr
 	class   *class
-	// openings and retries are decayed counts, valid at countedAt, in Unix nanoseconds.
+	// openings is a decayed count, valid at countedAt, in Unix nanoseconds.
 	openings  float64
-	retries   float64
 	countedAt int64
+	// retryShare is the share of retries among the latest openings.
+	retryShare float64
 	// refusals is the number of refused openings that the caller has not tried again
 	// yet, refusedAt the time of the last one in Unix nanoseconds.
 	refusals  int
@@ -52,9 +53,7 @@
 	if now <= r.countedAt {
 		return
 	}
-	factor := math.Exp(-float64(now-r.countedAt) / float64(decayTime))
-	r.openings *= factor
-	r.retries *= factor
+	r.openings *= math.Exp(-float64(now-r.countedAt) / float64(decayTime))
 	r.countedAt = now
 }
 
@@ -91,18 +90,21 @@
 	return least
 }
 
+// retryWeight is the weight of one opening in callerRow.retryShare.
+const retryWeight = 0.3
+
 // recordOpening counts an opening and reports whether it is the retry of a refused one.
 func (r *callerRow) recordOpening(now int64) bool {
 	r.openings++
-	if r.refusals == 0 {
-		return false
-	}
+	r.retryShare -= retryWeight * r.retryShare
 	if now-r.refusedAt >= int64(retryTime) {
 		r.refusals = 0
+	}
+	if r.refusals == 0 {
 		return false
 	}
 	r.refusals--
-	r.retries++
+	r.retryShare += retryWeight
 	return true
 }
 
@@ -117,8 +119,8 @@
 
 // callerCount holds the counts of one row.
 type callerCount struct {
-	openings float64
-	retries  float64
+	openings   float64
+	retryShare float64
 }
 
 // counts returns the counts of all callers by class, and removes rows that are out of
@@ -139,8 +141,8 @@
 				continue
 			}
 			counts[r.class] = append(counts[r.class], callerCount{
-				openings: r.openings,
-				retries:  r.retries,
+				openings:   r.openings,
+				retryShare: r.retryShare,
 			})
 		}
 		s.mutex.Unlock()
--- a/core/zfadmission/load_test.go
+++ b/core/zfadmission/load_test.go
@@ -138,7 +138,10 @@
 				p.arrivals = 0
 			}
 		}
-		d.table.Tick(now, d.rooms(now), routes)
+		d.table.Tick(now, zfadmission.Input{
+			Rooms:  d.rooms(now),
+			Routes: routes,
+		})
 		d.changes = append(d.changes, d.table.TakeChanges()...)
 		for i, entry := range d.entries {
 			if (at+time.Duration(i)*100*time.Millisecond)%(500*time.Millisecond) == 0 {
--- a/core/zfadmission/plan.go
+++ b/core/zfadmission/plan.go
@@ -100,12 +100,23 @@
 // uniformLimit returns the limit that admits a share of the openings of callers that have
 // one opening each.
 func uniformLimit(share float64) classLimit {
+	if share >= 1 {
+		return unlimited()
+	}
 	return classLimit{
 		cap:     share,
 		retries: 1,
 	}
 }
 
+// unlimited returns the limit that admits all openings.
+func unlimited() classLimit {
+	return classLimit{
+		cap:     math.Inf(1),
+		retries: 1,
+	}
+}
+
 // allotByPriority distributes the admitted openings over the classes: first the floor of
 // each, then the remainder in order of priority.
 func allotByPriority(openings [classCount]float64, admitted float64) [classCount]float64 {
@@ -125,14 +136,11 @@
 // newClassLimit returns the limit by which the given number of openings is admitted.
 func newClassLimit(counts []callerCount, openings, admitted float64) classLimit {
 	if openings-admitted < minRefused {
-		return classLimit{
-			cap:     math.Inf(1),
-			retries: 1,
-		}
+		return unlimited()
 	}
 	retries := 0.0
 	for _, count := range counts {
-		retries += count.retries
+		retries += count.openings * count.retryShare
 	}
 	limit := classLimit{
 		retries: 1,
@@ -165,8 +173,9 @@
 func (l classLimit) expected(counts []callerCount) float64 {
 	sum := 0.0
 	for _, count := range counts {
-		sum += (count.openings - count.retries) * l.admittedShare(count.openings+1, false)
-		sum += count.retries * l.admittedShare(count.openings+1, true)
+		first := l.admittedShare(count.openings+1, false)
+		retry := l.admittedShare(count.openings+1, true)
+		sum += count.openings * (first + (retry-first)*count.retryShare)
 	}
 	return sum
 }
--- a/core/zfadmission/table.go
+++ b/core/zfadmission/table.go
@@ -54,8 +54,16 @@
 	Age time.Duration
 }
 
-// Tick runs the system if a step is due. rooms are those of all data centres.
-func (t *Table) Tick(now time.Time, rooms []zf.ServiceRoom, routes []zfbundle.Route) {
+// Input holds what the system reads.
+type Input struct {
+	// Rooms are those of all data centres, Out the data centres taken out of service.
+	Rooms  []zf.ServiceRoom
+	Out    []zf.CentreName
+	Routes []zfbundle.Route
+}
+
+// Tick runs the system if a step is due.
+func (t *Table) Tick(now time.Time, input Input) {
 	passed := now.Sub(t.lastStep)
 	if passed < stepInterval {
 		return
@@ -64,8 +72,8 @@
 	if passed >= maxStepGap {
 		clear(t.rows)
 	}
-	bounds := waitBounds(routes)
-	figures := sumRooms(rooms, t.centre)
+	bounds := waitBounds(input.Routes)
+	figures := t.sumRooms(input)
 	for service, bound := range bounds {
 		f, known := figures[service]
 		if !known {
@@ -94,17 +102,16 @@
 	}
 }
 
-// Limits returns the limits in force, by service.
+// Limits returns the limits in force, by service. A service whose demand exceeds its room
+// has one with share 1, so that entry instances know its callers when it is needed.
 func (t *Table) Limits() []zf.AdmissionLimit {
 	var limits []zf.AdmissionLimit
 	for service, r := range t.rows {
-		if r.limited {
-			limits = append(limits, zf.AdmissionLimit{
-				Service: service,
-				Share:   r.share,
-				Wait:    r.wait(),
-			})
-		}
+		limits = append(limits, zf.AdmissionLimit{
+			Service: service,
+			Share:   r.share,
+			Wait:    r.wait(),
+		})
 	}
 	slices.SortFunc(limits, func(a, b zf.AdmissionLimit) int { return cmp.Compare(a.Service, b.Service) })
 	return limits
@@ -159,16 +166,18 @@
 	age  time.Duration
 }
 
-// sumRooms sums the figures of each service. Services without recent figures of the own
-// data centre, or without room, are left out.
-func sumRooms(rooms []zf.ServiceRoom, centre zf.CentreName) map[zf.ServiceName]figures {
+// sumRooms sums the figures of each service over the data centres in service. Services
+// without room are left out, and those without recent figures of the own data centre
+// unless that is out.
+func (t *Table) sumRooms(input Input) map[zf.ServiceName]figures {
 	sums := make(map[zf.ServiceName]figures)
 	known := make(map[zf.ServiceName]bool)
-	for _, room := range rooms {
-		if room.Age >= maxFigureAge {
+	ownOut := slices.Contains(input.Out, t.centre)
+	for _, room := range input.Rooms {
+		if room.Age >= maxFigureAge || slices.Contains(input.Out, room.Centre) {
 			continue
 		}
-		known[room.Service] = known[room.Service] || room.Centre == centre
+		known[room.Service] = known[room.Service] || ownOut || room.Centre == t.centre
 		f := sums[room.Service]
 		f.room += room.Room
 		f.demand += room.Demand
--- a/core/zfadmission/table_test.go
+++ b/core/zfadmission/table_test.go
@@ -140,6 +140,7 @@
 	for _, c := range []struct {
 		name  string
 		rooms []zf.ServiceRoom
+		out   []zf.CentreName
 		want  int
 	}{
 		{
@@ -154,6 +155,18 @@
 			name:  "room in another data centre",
 			rooms: []zf.ServiceRoom{room("one", 100, 500), room("two", 500, 50)},
 		},
+		{
+			name:  "room in a data centre that is out",
+			rooms: []zf.ServiceRoom{room("one", 100, 500), room("two", 500, 0)},
+			out:   []zf.CentreName{"two"},
+			want:  1,
+		},
+		{
+			name:  "the own data centre is out",
+			rooms: []zf.ServiceRoom{room("two", 100, 500)},
+			out:   []zf.CentreName{"one"},
+			want:  1,
+		},
 		{
 			name:  "no room in any",
 			rooms: []zf.ServiceRoom{room("one", 100, 500), room("two", 100, 100)},
@@ -161,7 +174,7 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			zfassert.Equal(t, "limits", len(limitsAfter(c.rooms, target)), c.want)
+			zfassert.Equal(t, "limits", len(limitsAfter(c.rooms, target, c.out...)), c.want)
 		})
 	}
 	t.Run("a service whose routes state no target has no limit", func(t *testing.T) {
@@ -180,13 +193,20 @@
 }
 
 // limitsAfter returns the limits after some seconds with the same figures.
-func limitsAfter(rooms []zf.ServiceRoom, target time.Duration) []zf.AdmissionLimit {
+func limitsAfter(rooms []zf.ServiceRoom, target time.Duration, out ...zf.CentreName) []zf.AdmissionLimit {
 	table := zfadmission.New("one")
 	for at := time.Duration(0); at < 5*time.Second; at += 50 * time.Millisecond {
-		table.Tick(start.Add(at), rooms, []zfbundle.Route{{
-			Target:  target,
-			Targets: []zf.RouteTarget{{Service: "orders", Weight: 1}},
-		}})
+		table.Tick(start.Add(at), zfadmission.Input{
+			Rooms: rooms,
+			Out:   out,
+			Routes: []zfbundle.Route{{
+				Target: target,
+				Targets: []zf.RouteTarget{{
+					Service: "orders",
+					Weight:  1,
+				}},
+			}},
+		})
 	}
 	return table.Limits()
 }
--- a/core/zfcontroller/admission.go
+++ b/core/zfcontroller/admission.go
@@ -18,9 +18,15 @@
 
 // limitAdmission updates the limits by the room of all data centres.
 func (w *World) limitAdmission(now time.Time) {
-	if w.config.Admission {
-		w.admission.Tick(now, w.ServiceRooms(now), w.currentRoutes())
+	if !w.config.Admission {
+		return
 	}
+	_, state := w.CommittedState()
+	w.admission.Tick(now, zfadmission.Input{
+		Rooms:  w.ServiceRooms(now),
+		Out:    CentresOut(state),
+		Routes: w.currentRoutes(),
+	})
 }
 
 // currentRoutes returns the routes of the bundle in force, or nil if there is none that
