Give a busy caller its cap also when it tries again

Cause: of a caller's openings that are mostly retries, the budget of retries left a tenth of its fair share, and with all limits a second late the share of admitted flows swung around its goal. Change: the cap applies to the openings that the budget considers; smaller steps near the goal, larger ones on return.

--- a/core/zfadmission/caller.go
+++ b/core/zfadmission/caller.go
@@ -108,6 +108,14 @@
 	return true
 }
 
+// count returns the row's counts.
+func (r *callerRow) count() callerCount {
+	return callerCount{
+		openings:   r.openings,
+		retryShare: r.retryShare,
+	}
+}
+
 // recordRefusal records that an opening was turned away or has failed.
 func (r *callerRow) recordRefusal(now int64) {
 	r.refusals++
@@ -140,10 +148,7 @@
 				*r = callerRow{}
 				continue
 			}
-			counts[r.class] = append(counts[r.class], callerCount{
-				openings:   r.openings,
-				retryShare: r.retryShare,
-			})
+			counts[r.class] = append(counts[r.class], r.count())
 		}
 		s.mutex.Unlock()
 	}
--- a/core/zfadmission/callers.go
+++ b/core/zfadmission/callers.go
@@ -117,10 +117,12 @@
 	defer set.mutex.Unlock()
 	row := set.find(address, of, now)
 	retry := row.recordOpening(now)
+	share, retryShare := limit.admittedShares(row.count())
 	if retry {
 		of.retried.Add(1)
+		share = retryShare
 	}
-	if fraction(opening.Hash) < limit.admittedShare(row.openings, retry) {
+	if fraction(opening.Hash) < share {
 		of.admitted.Add(1)
 		return true
 	}
--- a/core/zfadmission/limit.go
+++ b/core/zfadmission/limit.go
@@ -16,10 +16,10 @@
 	// gain is the part of the way to the computed share that one step goes. minDecrease
 	// and maxIncrease bound the factor of a step, minIncrease lets small shares grow.
 	// A step goes all the way if the demand is below idleShare of the room.
-	gain        = 0.3
+	gain        = 0.2
 	idleShare   = 0.7
 	minDecrease = 0.5
-	maxIncrease = 1.5
+	maxIncrease = 2
 	minIncrease = 0.05
 	// minShare is the share of new flows that is always admitted, so that no kind of
 	// request is starved for good and its load remains known.
--- a/core/zfadmission/plan.go
+++ b/core/zfadmission/plan.go
@@ -47,23 +47,21 @@
 // classLimit is the limit of one class.
 type classLimit struct {
 	// cap is the decayed count of openings up to which a caller's are all admitted. Of
-	// those of a caller above it, the part above is turned away.
+	// those of a caller above it, as many are.
 	cap float64
-	// retries is the factor for the retries of a caller above the cap.
+	// retries is the share of the retries of a caller above the cap that are considered.
 	retries float64
 }
 
-// admittedShare returns the share of a caller's openings that are admitted, where openings
-// is the caller's count with the current one.
-func (l classLimit) admittedShare(openings float64, retry bool) float64 {
-	switch {
-	case openings <= l.cap:
-		return 1
-	case retry:
-		return l.retries * l.cap / openings
-	default:
-		return l.cap / openings
-	}
+// admittedShares returns the shares of a caller's first openings and of its retries that are
+// admitted.
+func (l classLimit) admittedShares(count callerCount) (first, retry float64) {
+	if count.openings <= l.cap {
+		return 1, 1
+	}
+	considered := count.openings * (1 - count.retryShare*(1-l.retries))
+	first = min(l.cap/considered, 1)
+	return first, first * l.retries
 }
 
 // newServicePlan returns the limits by which a share of the openings of all callers is
@@ -173,8 +171,10 @@
 func (l classLimit) expected(counts []callerCount) float64 {
 	sum := 0.0
 	for _, count := range counts {
-		first := l.admittedShare(count.openings+1, false)
-		retry := l.admittedShare(count.openings+1, true)
+		first, retry := l.admittedShares(callerCount{
+			openings:   count.openings + 1,
+			retryShare: count.retryShare,
+		})
 		sum += count.openings * (first + (retry-first)*count.retryShare)
 	}
 	return sum
