--- a/core/zfadmission/load_test.go
+++ b/core/zfadmission/load_test.go
@@ -36,6 +36,14 @@
 	requests, turnedAway, inTime float64
 }
 
+func newKind(service zf.ServiceName, callers int, rate func(at time.Duration) float64) *kind {
+	return &kind{
+		service: service,
+		callers: callers,
+		rate:    rate,
+	}
+}
+
 // constant returns a constant rate.
 func constant(rate float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return rate }
--- a/core/zfadmission/table_test.go
+++ b/core/zfadmission/table_test.go
@@ -33,7 +33,7 @@
 	for _, times := range []float64{2, 5} {
 		for _, longest := range []time.Duration{4 * service, time.Second} {
 			t.Run(fmt.Sprintf("%g times the room, a queue of %s", times, longest), func(t *testing.T) {
-				hot := &kind{service: "orders", callers: 200, rate: constant(400 * times)}
+				hot := newKind("orders", 200, constant(400*times))
 				d := newDeployment(hot)
 				d.pools["orders"].longest = longest
 				d.settled = 20 * time.Second
@@ -47,8 +47,8 @@
 }
 
 func TestBusyCaller(t *testing.T) {
-	others := &kind{service: "orders", callers: 100, rate: constant(300)}
-	busy := &kind{service: "orders", callers: 1, rate: constant(150)}
+	others := newKind("orders", 100, constant(300))
+	busy := newKind("orders", 1, constant(150))
 	d := newDeployment(others, busy)
 	d.settled = 10 * time.Second
 	d.run(length)
@@ -62,8 +62,9 @@
 }
 
 func TestPriorities(t *testing.T) {
-	high := &kind{service: "orders", priority: 0, callers: 100, rate: constant(250)}
-	low := &kind{service: "orders", priority: 2, callers: 100, rate: constant(500)}
+	high := newKind("orders", 100, constant(250))
+	low := newKind("orders", 100, constant(500))
+	low.priority = 2
 	d := newDeployment(high, low)
 	d.settled = 10 * time.Second
 	d.run(length)
@@ -72,8 +73,9 @@
 }
 
 func TestOpenFlows(t *testing.T) {
-	open := &kind{service: "orders", callers: 100, rate: constant(250), open: true}
-	hot := &kind{service: "orders", callers: 100, rate: constant(800)}
+	open := newKind("orders", 100, constant(250))
+	open.open = true
+	hot := newKind("orders", 100, constant(800))
 	d := newDeployment(open, hot)
 	d.settled = 15 * time.Second
 	d.run(length)
@@ -85,8 +87,8 @@
 }
 
 func TestOtherService(t *testing.T) {
-	hot := &kind{service: "orders", callers: 100, rate: constant(2000)}
-	other := &kind{service: "menus", callers: 100, rate: constant(300)}
+	hot := newKind("orders", 100, constant(2000))
+	other := newKind("menus", 100, constant(300))
 	newDeployment(hot, other).run(length)
 	zfassert.Equal(t, "flows of the other service turned away", other.turnedAway, 0.0)
 	assertServed(t, other, 0.99)
@@ -95,7 +97,7 @@
 func TestLoadAtTheRoom(t *testing.T) {
 	for _, share := range []float64{0.9, 0.95, 1, 1.05, 1.1} {
 		t.Run(fmt.Sprintf("%g of the room", share), func(t *testing.T) {
-			k := &kind{service: "orders", callers: 100, rate: constant(400 * share)}
+			k := newKind("orders", 100, constant(400*share))
 			d := newDeployment(k).run(length)
 			assertChanges(t, d, 12)
 			assertAtLeast(t, "share of the room that serves in time", k.inTime/length.Seconds()/400, 0.9*min(share, 1))
@@ -105,12 +107,12 @@
 
 func TestReturn(t *testing.T) {
 	t.Run("a burst of 300 ms", func(t *testing.T) {
-		k := &kind{service: "orders", callers: 100, rate: raised(300, 3, 5500*time.Millisecond, 5800*time.Millisecond)}
+		k := newKind("orders", 100, raised(300, 3, 5500*time.Millisecond, 5800*time.Millisecond))
 		newDeployment(k).run(length)
 		zfassert.Equal(t, "requests turned away", k.turnedAway, 0.0)
 	})
 	t.Run("all callers return after an outage of 1 s", func(t *testing.T) {
-		k := &kind{service: "orders", callers: 100, rate: raised(320, 2, 6*time.Second, 7*time.Second)}
+		k := newKind("orders", 100, raised(320, 2, 6*time.Second, 7*time.Second))
 		d := newDeployment(k)
 		d.out = func(at time.Duration) bool { return at >= 5*time.Second && at < 6*time.Second }
 		d.settled = 7 * time.Second
@@ -119,7 +121,7 @@
 		zfassert.Equal(t, "limits at the end", len(d.table.Limits()), 0)
 	})
 	t.Run("the limit ends after a burst of 10 s", func(t *testing.T) {
-		k := &kind{service: "orders", callers: 100, rate: raised(200, 5, 5*time.Second, 15*time.Second)}
+		k := newKind("orders", 100, raised(200, 5, 5*time.Second, 15*time.Second))
 		d := newDeployment(k)
 		d.settled = 21 * time.Second
 		d.run(length)
@@ -130,7 +132,7 @@
 
 func TestSums(t *testing.T) {
 	t.Run("nothing is turned away by sums that are old", func(t *testing.T) {
-		k := &kind{service: "orders", callers: 100, rate: constant(800)}
+		k := newKind("orders", 100, constant(800))
 		d := newDeployment(k)
 		d.stale = func(at time.Duration) bool { return at > 10*time.Second }
 		d.settled = 16 * time.Second
@@ -212,7 +214,7 @@
 }
 
 func TestUnevenInstances(t *testing.T) {
-	k := &kind{service: "orders", callers: 200, rate: constant(1200)}
+	k := newKind("orders", 200, constant(1200))
 	d := newDeployment(k)
 	d.weights = []float64{0.9, 0.1}
 	d.settled = 15 * time.Second
