--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -125,6 +125,9 @@
 	if p == nil {
 		return reset(zf.ReasonNoServer)
 	}
+	if !m.admits(r, p, hash, packet, now) {
+		return reset(zf.ReasonNoRoom)
+	}
 	attempt := m.beginOpening(packet, hash, now)
 	s := p.choose(openingPacket{
 		hash:            hash,
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -102,6 +102,7 @@
 	stepOut   stepOut
 	// loadsReported is when the loads of backend servers were last reported.
 	loadsReported time.Time
+	limits        receivedLimits
 	viewRevisions revisions
 	departures    departures
 }
@@ -191,6 +192,7 @@
 	if reply.Loads != nil {
 		w.config.Observer.SetTotalLoads(reply.Loads, now)
 		w.departures.update(reply.Departures, w.config.Leaving, now)
+		w.limits.replace(reply.Limits, now)
 	}
 	changed := reply.State != nil && reply.State.Index > w.state.Index
 	if changed {
@@ -266,6 +268,7 @@
 		w.view.Servers = w.limitColdServers(w.registry.View(w.state.Out), now)
 		w.view.Revision++
 	}
+	w.view.Limits = w.limits.inForce(now)
 	w.config.Mapper.Tick(now, w.view)
 }
 
--- a/io/command/zfservecmd/controller.go
+++ b/io/command/zfservecmd/controller.go
@@ -89,6 +89,7 @@
 		Decode:   p.Bundles.decode,
 
 		Departure: departureConfig(p.Settings, p.Source),
+		Admission: p.Settings.Load.Admission,
 	}, p.Factory.Clock.Now())
 	loop := zfcontrollerloop.New(zfcontrollerloop.Config{
 		World:       world,
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	zf "zinniafront"
+	"zinniafront/core/zfadmission"
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfhold"
@@ -65,10 +66,18 @@
 }
 
 func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger) *zfforwardloop.Loop {
-	mapper := zfcookie.New(zfcookie.Config{
+	config := zfcookie.Config{
 		Seed:     flowSeed,
 		Openings: settings.Load.Placement == zfdocument.PlacementWait,
-	})
+	}
+	var admission *zfadmission.Callers
+	if settings.Load.Admission {
+		admission = zfadmission.NewCallers(zfadmission.Config{
+			Seed: uint64(source),
+		})
+		config.Admission = admission
+	}
+	mapper := zfcookie.New(config)
 	world := zfforward.New(zfforward.Config{
 		Self:     settings.Name,
 		Centre:   settings.Centre,
@@ -85,6 +94,8 @@
 		Logger:   logger,
 		Meter:    newMeter(settings, counters),
 		Counters: counters,
+
+		Admission: admission,
 	})
 }
 
--- a/io/zfcontrollerloop/feed.go
+++ b/io/zfcontrollerloop/feed.go
@@ -65,6 +65,9 @@
 	return d.world.Departures(now)
 }
 
+// Limits implements zfcluster.FeedData.
+func (d feedData) Limits() []zf.AdmissionLimit { return d.world.Admission().Limits() }
+
 // StopPermitted implements zfcluster.FeedData.
 func (d feedData) StopPermitted(instance zf.InstanceName, now time.Time) bool {
 	return d.world.StopPermits().Acquire(instance, now)
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -63,6 +63,9 @@
 // Departures implements zfcluster.FeedData. Only control instances decide on them.
 func (l *Loop) Departures(time.Time) (departures []zf.Departure, decides bool) { return nil, false }
 
+// Limits implements zfcluster.FeedData. Only control instances decide on limits.
+func (l *Loop) Limits() []zf.AdmissionLimit { return nil }
+
 // StopPermitted implements zfcluster.FeedData. Every subscriber is permitted to stop:
 // without a control instance no stops are coordinated.
 func (l *Loop) StopPermitted(zf.InstanceName, time.Time) bool { return true }
