Add the table of what backend servers can take

Change: core/zfroom holds a row for each backend server with its learned service time, rate of requests and expected wait, and sums them by service and data centre. zf.ServerLoad gains Rejected, the requests that were answered too soon to have been processed: without it the room of overloaded backend servers can't be told from their demand. zfload.DecayTime is exported, as a sum divided by it is a rate.

--- a/core/zfload/table.go
+++ b/core/zfload/table.go
@@ -13,10 +13,10 @@
 	zf "zinniafront"
 )
 
-// decayTime is the time after which a request counts 1/e. Flows send a request every
+// DecayTime is the time after which a request counts 1/e: a sum divided by it is a rate. Flows send a request every
 // one to three seconds; with the longest such time a row approximates the number of
 // flows of its backend server.
-const decayTime = 3 * time.Second
+const DecayTime = 3 * time.Second
 
 // decayedCount is an exponentially decaying count, valid at decayedAt.
 type decayedCount struct {
@@ -25,7 +25,7 @@
 }
 
 func (c *decayedCount) decay(now time.Time) {
-	c.count *= math.Exp(-float64(now.Sub(c.decayedAt)) / float64(decayTime))
+	c.count *= math.Exp(-float64(now.Sub(c.decayedAt)) / float64(DecayTime))
 	c.decayedAt = now
 }
 
@@ -97,14 +97,14 @@
 }
 
 // Total returns the sums over all entry instances of the data centre, ordered by
-// cookie. The report of another control instance counts for decayTime.
+// cookie. The report of another control instance counts for DecayTime.
 func (t *Table) Total(now time.Time) []zf.ServerLoad {
 	sums := make(map[zf.Cookie]int)
 	for _, load := range t.Local(now) {
 		sums[load.Cookie] = load.Requests
 	}
 	for from, report := range t.remote {
-		if now.Sub(report.reportedAt) >= decayTime {
+		if now.Sub(report.reportedAt) >= DecayTime {
 			delete(t.remote, from)
 			continue
 		}
--- /dev/null
+++ b/core/zfroom/table.go
@@ -0,0 +1,267 @@
+// Package zfroom estimates what backend servers can take. Its table has a row for each
+// backend server: the time that it takes for a request, learned from answers, the
+// requests that it gets, and the wait for a slot that follows from both.
+package zfroom
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfload"
+)
+
+// Config configures a table.
+type Config struct {
+	// CookieOf returns the cookie of one incarnation of a backend server.
+	CookieOf func(name zf.ServerName, born time.Time) zf.Cookie
+}
+
+const (
+	// initialTime is the service time of a service none of whose answers has been
+	// observed.
+	initialTime = 20 * time.Millisecond
+	// priorAnswers is the number of answers that a backend server's own mean needs to
+	// count as much as that of its service.
+	priorAnswers = 5
+	// minTimeFactor and maxTimeFactor bound a backend server's service time relative to
+	// the mean of its service. One that answers errors at once must not seem fast.
+	minTimeFactor = 0.5
+	maxTimeFactor = 8
+)
+
+// Row is one backend server.
+type Row struct {
+	Cookie  zf.Cookie
+	Service zf.ServiceName
+	Centre  zf.CentreName
+	Slots   int
+	// Usable is set if the backend server takes new flows.
+	Usable bool
+	// Weight is the share of its full speed that it has in its state.
+	Weight float64
+	// Time is the learned time that a request occupies a slot.
+	Time time.Duration
+	// Rate is the number of requests a second that it gets.
+	Rate float64
+	// Wait is the expected wait for a slot of one more request.
+	Wait time.Duration
+	// load is the load that was last set, measured the time without a wait in it.
+	load     zf.ServerLoad
+	measured time.Duration
+}
+
+// Room returns the number of requests a second that the backend server sustains.
+func (r Row) Room() float64 { return float64(r.Slots) / r.Time.Seconds() }
+
+// service is what is known of all backend servers of a service.
+type service struct {
+	// time is the mean service time at full speed.
+	time time.Duration
+	// busy and answers are its sums while it is computed.
+	busy    float64
+	answers float64
+}
+
+// Table holds the rows. Its rows are keyed by cookie.
+type Table struct {
+	config   Config
+	rows     map[zf.Cookie]*Row
+	services map[zf.ServiceName]*service
+	// updated is when the loads were last set.
+	updated time.Time
+}
+
+// New returns a table without rows.
+func New(config Config) *Table {
+	return &Table{
+		config:   config,
+		rows:     make(map[zf.Cookie]*Row),
+		services: make(map[zf.ServiceName]*service),
+	}
+}
+
+// SetServers replaces the backend servers. Those that remain keep what was learned of
+// them; another incarnation begins with the mean of its service.
+func (t *Table) SetServers(rows []zf.ServerView) {
+	next := make(map[zf.Cookie]*Row, len(rows))
+	for _, view := range rows {
+		if view.State == zf.ServerGone {
+			continue
+		}
+		cookie := t.config.CookieOf(view.Name, view.Born)
+		row := t.rows[cookie]
+		if row == nil {
+			row = &Row{
+				Cookie: cookie,
+			}
+		}
+		row.Service = view.Service
+		row.Centre = view.Centre
+		row.Slots = max(view.Slots, 1)
+		row.Usable = view.Allowed && view.Weight > 0 && view.State != zf.ServerSilent && !view.Suspect
+		row.Weight = view.Weight
+		next[cookie] = row
+		if t.services[view.Service] == nil {
+			t.services[view.Service] = &service{
+				time: initialTime,
+			}
+		}
+	}
+	t.rows = next
+	for _, row := range t.rows {
+		row.estimate(t.services[row.Service].time)
+	}
+}
+
+// SetLoads replaces the loads and learns the service times from them.
+func (t *Table) SetLoads(loads []zf.ServerLoad, now time.Time) {
+	t.updated = now
+	for _, row := range t.rows {
+		row.load = zf.ServerLoad{}
+	}
+	for _, load := range loads {
+		if row := t.rows[load.Cookie]; row != nil {
+			row.load = load
+		}
+	}
+	for _, row := range t.rows {
+		row.measure()
+		row.addTo(t.services[row.Service])
+	}
+	for _, s := range t.services {
+		s.update()
+	}
+	for _, row := range t.rows {
+		row.estimate(t.services[row.Service].time)
+	}
+}
+
+// measure derives the service time from the load alone.
+func (r *Row) measure() {
+	r.Rate = float64(r.load.Requests) / zfload.DecayTime.Seconds()
+	r.measured = 0
+	if r.load.Answers <= 0 {
+		return
+	}
+	mean := r.load.Busy / time.Duration(r.load.Answers)
+	r.measured = CurveOf(r.Slots).serviceTime(mean, r.processedRate(), r.Slots)
+}
+
+// processedRate returns the rate of the requests that are not rejected at once.
+func (r *Row) processedRate() float64 {
+	return r.Rate * float64(r.load.Answers) / float64(r.load.Answers+r.load.Rejected)
+}
+
+func (r *Row) addTo(s *service) {
+	if r.Weight > 0 {
+		s.busy += float64(r.load.Answers) * float64(r.measured) * r.Weight
+		s.answers += float64(r.load.Answers)
+	}
+}
+
+// update computes the mean. A service without answers keeps what was learned of it.
+func (s *service) update() {
+	s.time = time.Duration((s.busy + priorAnswers*float64(s.time)) / (s.answers + priorAnswers))
+	s.busy, s.answers = 0, 0
+}
+
+// estimate derives the expected wait from the measured time and the mean of the service.
+func (r *Row) estimate(mean time.Duration) {
+	expected := float64(mean)
+	if r.Weight > 0 {
+		expected /= r.Weight
+	}
+	answers := float64(r.load.Answers)
+	own := (answers*float64(r.measured) + priorAnswers*expected) / (answers + priorAnswers)
+	r.Time = time.Duration(min(max(own, minTimeFactor*expected), maxTimeFactor*expected))
+	r.Wait = expectedWait(r.Slots, r.Time, float64(r.load.Requests+1)/zfload.DecayTime.Seconds())
+}
+
+// expectedWait returns the wait for a slot at a rate of requests a second.
+func expectedWait(slots int, serviceTime time.Duration, rate float64) time.Duration {
+	use := rate * serviceTime.Seconds() / float64(slots)
+	return time.Duration(CurveOf(slots).At(use) * float64(serviceTime))
+}
+
+// Server returns the row of a backend server; ok is false if there is none.
+func (t *Table) Server(cookie zf.Cookie) (row Row, ok bool) {
+	if r := t.rows[cookie]; r != nil {
+		return *r, true
+	}
+	return Row{}, false
+}
+
+// key identifies a service in a data centre.
+type key struct {
+	service zf.ServiceName
+	centre  zf.CentreName
+}
+
+// sums are the sums over the backend servers of a key.
+type sums struct {
+	room    zf.ServiceRoom
+	wait    float64
+	waits   float64
+	bytes   float64
+	answers float64
+}
+
+func (s *sums) add(r *Row) {
+	s.room.Demand += r.Rate
+	s.bytes += float64(r.load.Bytes)
+	s.answers += float64(r.load.Answers)
+	if !r.Usable {
+		return
+	}
+	s.room.Servers++
+	s.room.Room += r.Room()
+	requests := float64(r.load.Requests + 1)
+	s.wait += requests * float64(r.Wait)
+	s.waits += requests
+}
+
+// result returns the room with its means.
+func (s *sums) result() zf.ServiceRoom {
+	room := s.room
+	if s.waits > 0 {
+		room.Wait = time.Duration(s.wait / s.waits)
+	}
+	if s.answers > 0 {
+		room.Bytes = int(s.bytes / s.answers)
+	}
+	return room
+}
+
+// Rooms returns the room of each service in each data centre, in the order of both
+// names.
+func (t *Table) Rooms(now time.Time) []zf.ServiceRoom {
+	all := make(map[key]*sums)
+	for _, row := range t.rows {
+		k := key{
+			service: row.Service,
+			centre:  row.Centre,
+		}
+		s := all[k]
+		if s == nil {
+			s = &sums{
+				room: zf.ServiceRoom{
+					Service: row.Service,
+					Centre:  row.Centre,
+					Age:     now.Sub(t.updated),
+				},
+			}
+			all[k] = s
+		}
+		s.add(row)
+	}
+	rooms := make([]zf.ServiceRoom, 0, len(all))
+	for _, s := range all {
+		rooms = append(rooms, s.result())
+	}
+	slices.SortFunc(rooms, func(a, b zf.ServiceRoom) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Centre, b.Centre))
+	})
+	return rooms
+}
--- a/value.go
+++ b/value.go
@@ -248,6 +248,9 @@
 	// the round trip to the caller.
 	Answers int
 	Busy    time.Duration
+	// Rejected is the number of requests that were answered too soon to have been
+	// processed; they are not among Answers.
+	Rejected int
 	// Bytes is the size of these answers.
 	Bytes int
 	// Opened is the number of new flows whose callers went on after the opening packet,
