Sum answers, their time and openings beside requests

Cause: the room of a backend server follows from the time that its answers take. Change: zfload decays and sums answers, rejections, busy time, bytes and the outcomes of openings like requests; a row is kept while any of its counts is. Result: go test ./core/zfload passes; sums of requests are the same as before.

--- a/core/zfload/table.go
+++ b/core/zfload/table.go
@@ -1,7 +1,7 @@
 // Package zfload sums the load of backend servers over the entry instances of a
 // data centre. Its table has a row for each backend server that recently received
-// requests: the sum that entry instances report to this control instance, and the
-// sums that the other control instances of the data centre report.
+// requests: the sums that entry instances report to this control instance, and those
+// that the other control instances of the data centre report.
 package zfload
 
 import (
@@ -18,15 +18,57 @@
 // flows of its backend server.
 const DecayTime = 3 * time.Second
 
-// decayedCount is an exponentially decaying count, valid at decayedAt.
-type decayedCount struct {
-	count     float64
+// decayedSums are exponentially decaying sums, valid at decayedAt.
+type decayedSums struct {
+	requests  float64
+	answers   float64
+	rejected  float64
+	busy      float64
+	bytes     float64
+	opened    float64
+	unopened  float64
 	decayedAt time.Time
 }
 
-func (c *decayedCount) decay(now time.Time) {
-	c.count *= math.Exp(-float64(now.Sub(c.decayedAt)) / float64(DecayTime))
-	c.decayedAt = now
+func (s *decayedSums) decay(now time.Time) {
+	factor := math.Exp(-float64(now.Sub(s.decayedAt)) / float64(DecayTime))
+	s.requests *= factor
+	s.answers *= factor
+	s.rejected *= factor
+	s.busy *= factor
+	s.bytes *= factor
+	s.opened *= factor
+	s.unopened *= factor
+	s.decayedAt = now
+}
+
+func (s *decayedSums) add(load zf.ServerLoad) {
+	s.requests += float64(max(load.Requests, 0))
+	s.answers += float64(max(load.Answers, 0))
+	s.rejected += float64(max(load.Rejected, 0))
+	s.busy += float64(max(load.Busy, 0))
+	s.bytes += float64(max(load.Bytes, 0))
+	s.opened += float64(max(load.Opened, 0))
+	s.unopened += float64(max(load.Unopened, 0))
+}
+
+// negligible reports whether all counts are below minCount.
+func (s *decayedSums) negligible() bool {
+	return max(s.requests, s.answers, s.rejected, s.opened, s.unopened) < minCount
+}
+
+// load returns the sums of the backend server of a cookie, rounded.
+func (s *decayedSums) load(cookie zf.Cookie) zf.ServerLoad {
+	return zf.ServerLoad{
+		Cookie:   cookie,
+		Requests: int(math.Round(s.requests)),
+		Answers:  int(math.Round(s.answers)),
+		Rejected: int(math.Round(s.rejected)),
+		Busy:     time.Duration(math.Round(s.busy)),
+		Bytes:    int(math.Round(s.bytes)),
+		Opened:   int(math.Round(s.opened)),
+		Unopened: int(math.Round(s.unopened)),
+	}
 }
 
 // remoteLoads is the last report of another control instance.
@@ -37,7 +79,7 @@
 
 // Table holds the loads. Its rows are keyed by cookie.
 type Table struct {
-	local map[zf.Cookie]*decayedCount
+	local map[zf.Cookie]*decayedSums
 	// remote holds the last report of each other control instance, by the Source of
 	// its fetch replies.
 	remote map[uint64]remoteLoads
@@ -46,23 +88,23 @@
 // New returns a table without rows.
 func New() *Table {
 	return &Table{
-		local:  make(map[zf.Cookie]*decayedCount),
+		local:  make(map[zf.Cookie]*decayedSums),
 		remote: make(map[uint64]remoteLoads),
 	}
 }
 
-// Record adds the requests that an entry instance has sent since its last report.
+// Record adds what an entry instance has observed since its last report.
 func (t *Table) Record(loads []zf.ServerLoad, now time.Time) {
 	for _, load := range loads {
 		row := t.local[load.Cookie]
 		if row == nil {
-			row = &decayedCount{
+			row = &decayedSums{
 				decayedAt: now,
 			}
 			t.local[load.Cookie] = row
 		}
 		row.decay(now)
-		row.count += float64(max(load.Requests, 0))
+		row.add(load)
 	}
 }
 
@@ -74,7 +116,7 @@
 	}
 }
 
-// minCount is the count below which a row is removed.
+// minCount is the count below which a row is removed, if all its counts are.
 const minCount = 0.5
 
 // Local removes the rows below minCount and returns the others, ordered by cookie: the
@@ -83,14 +125,11 @@
 	loads := make([]zf.ServerLoad, 0, len(t.local))
 	for cookie, row := range t.local {
 		row.decay(now)
-		if row.count < minCount {
+		if row.negligible() {
 			delete(t.local, cookie)
 			continue
 		}
-		loads = append(loads, zf.ServerLoad{
-			Cookie:   cookie,
-			Requests: int(math.Round(row.count)),
-		})
+		loads = append(loads, row.load(cookie))
 	}
 	slices.SortFunc(loads, func(a, b zf.ServerLoad) int { return cmp.Compare(a.Cookie, b.Cookie) })
 	return loads
@@ -99,9 +138,10 @@
 // Total returns the sums over all entry instances of the data centre, ordered by
 // cookie. The report of another control instance counts for DecayTime.
 func (t *Table) Total(now time.Time) []zf.ServerLoad {
-	sums := make(map[zf.Cookie]int)
-	for _, load := range t.Local(now) {
-		sums[load.Cookie] = load.Requests
+	loads := t.Local(now)
+	index := make(map[zf.Cookie]int, len(loads))
+	for i, load := range loads {
+		index[load.Cookie] = i
 	}
 	for from, report := range t.remote {
 		if now.Sub(report.reportedAt) >= DecayTime {
@@ -109,16 +149,29 @@
 			continue
 		}
 		for _, load := range report.loads {
-			sums[load.Cookie] += load.Requests
+			i, ok := index[load.Cookie]
+			if !ok {
+				index[load.Cookie] = len(loads)
+				loads = append(loads, load)
+				continue
+			}
+			loads[i] = sum(loads[i], load)
 		}
 	}
-	loads := make([]zf.ServerLoad, 0, len(sums))
-	for cookie, requests := range sums {
-		loads = append(loads, zf.ServerLoad{
-			Cookie:   cookie,
-			Requests: requests,
-		})
-	}
 	slices.SortFunc(loads, func(a, b zf.ServerLoad) int { return cmp.Compare(a.Cookie, b.Cookie) })
 	return loads
 }
+
+// sum returns the sum of two loads of one backend server.
+func sum(a, b zf.ServerLoad) zf.ServerLoad {
+	return zf.ServerLoad{
+		Cookie:   a.Cookie,
+		Requests: a.Requests + b.Requests,
+		Answers:  a.Answers + b.Answers,
+		Rejected: a.Rejected + b.Rejected,
+		Busy:     a.Busy + b.Busy,
+		Bytes:    a.Bytes + b.Bytes,
+		Opened:   a.Opened + b.Opened,
+		Unopened: a.Unopened + b.Unopened,
+	}
+}
--- a/core/zfload/table_test.go
+++ b/core/zfload/table_test.go
@@ -48,3 +48,43 @@
 		assertLoads(t, table.Total(start.Add(time.Minute)))
 	})
 }
+
+func TestSumsOfAnswers(t *testing.T) {
+	table := zfload.New()
+	report := zf.ServerLoad{
+		Cookie:   1,
+		Requests: 10,
+		Answers:  8,
+		Rejected: 1,
+		Busy:     160 * time.Millisecond,
+		Bytes:    4000,
+		Opened:   3,
+		Unopened: 2,
+	}
+	unopened := zf.ServerLoad{
+		Cookie:   2,
+		Unopened: 5,
+	}
+	table.Record([]zf.ServerLoad{report, unopened}, start)
+	table.SetRemote(7, []zf.ServerLoad{report}, start)
+	t.Run("all sums pass, also of a backend server without requests", func(t *testing.T) {
+		assertLoads(t, table.Local(start), report, unopened)
+	})
+	t.Run("all sums are added up", func(t *testing.T) {
+		twice := zf.ServerLoad{
+			Cookie:   1,
+			Requests: 20,
+			Answers:  16,
+			Rejected: 2,
+			Busy:     320 * time.Millisecond,
+			Bytes:    8000,
+			Opened:   6,
+			Unopened: 4,
+		}
+		assertLoads(t, table.Total(start), twice, unopened)
+	})
+	t.Run("the mean time of an answer survives the decay", func(t *testing.T) {
+		later := table.Local(start.Add(time.Second))[0]
+		zfassert.AtMost(t, "time of an answer", (later.Busy / time.Duration(later.Answers)).Seconds(), 0.021)
+	})
+}
