Learn service times and place flows by the expected wait

Change: with Config.Learn the mapper measures each request from its last packet to the first prompt acknowledgement, less the round trip of the handshake, and reports the sums. zf.Cost compares candidates: zfload.Cost by requests, as before, zfroom.Cost by the expected wait. The setting load.placement selects one. Control instances offer the room of each service.

--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -93,6 +93,7 @@
 	registry             *zfregistry.Table
 	outliers             *zfoutlier.Table
 	loads                *zfload.Table
+	room                 room
 	stopPermits          *zfpermit.Table
 	rotation             *zfrotation.Table
 	lastOutlierDetection time.Time
@@ -124,6 +125,7 @@
 		registry:    zfregistry.New(config.Registry),
 		outliers:    zfoutlier.New(config.Outlier),
 		loads:       zfload.New(),
+		room:        newRoom(),
 		stopPermits: zfpermit.New(),
 		rotation:    zfrotation.New(),
 
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -14,12 +14,18 @@
 	"github.com/zeebo/xxh3"
 
 	zf "zinniafront"
+	"zinniafront/core/zfload"
 )
 
 // Config configures a mapper.
 type Config struct {
 	// Seed is the seed of the hash that spreads flows over backend servers.
 	Seed uint64
+	// Cost compares the backend servers that a new flow may go to. It is zfload.Cost if
+	// it is nil.
+	Cost zf.Cost
+	// Learn is set if the service times of backend servers are learned and reported.
+	Learn bool
 }
 
 // Mapper implements zinniafront.Mapper and zinniafront.Observer.
@@ -37,7 +43,9 @@
 	// they were last received.
 	totalsKnown   atomic.Bool
 	totalsUpdated time.Time
-	revision      uint64
+	// room is nil unless Config.Learn is set.
+	room     *room
+	revision uint64
 	// lastMaintenance is when the periodic tasks last ran, in Unix nanoseconds.
 	lastMaintenance atomic.Int64
 	// resumedAt is when this instance last went on after a suspension, in Unix
@@ -116,6 +124,8 @@
 
 type route struct {
 	targets []target
+	// times is nil unless Config.Learn is set.
+	times *routeTimes
 	// total is the sum of the weights of all targets.
 	total uint64
 }
@@ -162,12 +172,19 @@
 
 // New returns a mapper without routes and backend servers.
 func New(config Config) *Mapper {
-	return &Mapper{
+	if config.Cost == nil {
+		config.Cost = zfload.Cost{}
+	}
+	m := &Mapper{
 		config: config,
 		stats:  make(map[zf.ServerIncarnation]*serverStats),
 
 		centres: make(map[zf.CentreName]*centreStats),
 	}
+	if config.Learn {
+		m.room = newRoom()
+	}
+	return m
 }
 
 // CookieOf returns the cookie of one incarnation of a backend server.
@@ -194,6 +211,7 @@
 		m.lastMaintenance.Store(now.UnixNano())
 		if now.Sub(m.totalsUpdated) >= totalsTimeout {
 			m.totalsKnown.Store(false)
+			m.useOwnLoads(now)
 		}
 		suspended := m.requests.sweep(now)
 		if suspended {
@@ -272,6 +290,7 @@
 		next.addresses = append(next.addresses, r.Address)
 	}
 	next.recordRemoved(m.current.Load(), now)
+	m.setRoom(view, next, stats)
 	m.stats = stats
 	m.current.Store(next)
 }
@@ -370,13 +389,17 @@
 func (m *Mapper) Loads() []zf.ServerLoad {
 	var loads []zf.ServerLoad
 	for incarnation, s := range m.stats {
-		if requests := s.unreported.Swap(0); requests > 0 {
-			loads = append(loads, zf.ServerLoad{
-				Cookie:   CookieOf(incarnation.Server, incarnation.Born()),
-				Requests: int(requests),
-			})
+		load := zf.ServerLoad{
+			Requests: int(s.unreported.Swap(0)),
+		}
+		s.answers.take(&load)
+		if load == (zf.ServerLoad{}) {
+			continue
 		}
+		load.Cookie = CookieOf(incarnation.Server, incarnation.Born())
+		loads = append(loads, load)
 	}
+	m.recordOwnLoads(loads)
 	return loads
 }
 
@@ -389,6 +412,7 @@
 	for incarnation, s := range m.stats {
 		s.setTotal(requests[CookieOf(incarnation.Server, incarnation.Born())])
 	}
+	m.setLearnedLoads(loads, now)
 	m.totalsUpdated = now
 	m.totalsKnown.Store(true)
 }
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -45,6 +45,7 @@
 	now      time.Time
 	// totalsKnown is true while the total loads are up to date.
 	totalsKnown bool
+	costOf      zf.Cost
 }
 
 // allows reports whether a backend server may get a new flow. The rate of new flows of
@@ -135,12 +136,20 @@
 	return candidate
 }
 
-// cost returns the load of a backend server relative to its weight.
+// cost returns the cost of one more request at a backend server.
 func (o openingPacket) cost(s *server) float64 {
+	use := zf.ServerUse{
+		Complete: o.totalsKnown,
+		Weight:   s.Weight,
+		Slots:    s.Slots,
+		Time:     time.Duration(s.stats.serviceTime.Load()),
+	}
 	if o.totalsKnown {
-		return float64(s.stats.totalLoad()+1) / s.Weight
+		use.Millirequests = s.stats.totalLoad()
+	} else {
+		use.Millirequests = s.stats.localLoad()
 	}
-	return float64(s.stats.localLoad()+1) / s.Weight
+	return o.costOf.Of(use)
 }
 
 // stride returns a step coprime to size, so that stepping around a ring of that size
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -55,16 +55,18 @@
 	retransmissions int
 	// unanswered is true if the request has been counted as unanswered.
 	unanswered bool
+	timing     requestTiming
 }
 
 // recordOpening records an opening packet.
-func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow) {
+func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow, timing requestTiming) {
 	t.mutex.Lock()
 	t.rows[hash%requestRows] = requestRow{
 		hash:    hash,
 		flow:    *flow,
 		stats:   stats,
 		opening: true,
+		timing:  timing,
 	}
 	t.mutex.Unlock()
 }
@@ -96,7 +98,7 @@
 // recordData records a packet with a payload. queued is true if it may have waited for this
 // instance during a suspension: then it may have been answered through another one, and
 // whether it is answered here is not followed.
-func (t *requestTable) recordData(hash uint64, stats *serverStats, packet *zf.Packet, queued bool, now time.Time) dataResult {
+func (t *requestTable) recordData(hash uint64, stats *serverStats, times *routeTimes, packet *zf.Packet, queued bool, now time.Time) dataResult {
 	var result dataResult
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -113,8 +115,12 @@
 			hash:  hash,
 			flow:  packet.Flow,
 			stats: stats,
+			timing: requestTiming{
+				times: times,
+			},
 		}
 	} else {
+		row.learnRest(packet.Acknowledged, queued, now)
 		result.retransmitted = !row.opening && row.sequence == packet.Sequence
 		result.answered = row.markAnswered(packet.Acknowledged) || row.opening
 	}
@@ -145,21 +151,23 @@
 
 // recordAcknowledgement records a packet without a payload, which may show that a
 // request was answered.
-func (t *requestTable) recordAcknowledgement(hash uint64, stats *serverStats, acknowledged uint32) {
+func (t *requestTable) recordAcknowledgement(hash uint64, stats *serverStats, a acknowledgement) {
 	t.mutex.Lock()
 	if row := &t.rows[hash%requestRows]; row.hash == hash && row.stats == stats {
-		row.markAnswered(acknowledged)
-		row.lastAcknowledged = acknowledged
+		row.learnAnswer(a)
+		row.markAnswered(a.number)
+		row.lastAcknowledged = a.number
 	}
 	t.mutex.Unlock()
 }
 
 // recordEnd records that the caller ends the flow. A request that still waits for its
 // answer counts as unanswered.
-func (t *requestTable) recordEnd(hash uint64, stats *serverStats, acknowledged uint32) {
+func (t *requestTable) recordEnd(hash uint64, stats *serverStats, a acknowledgement) {
 	t.mutex.Lock()
 	if row := &t.rows[hash%requestRows]; row.hash == hash && row.stats == stats {
-		row.markAnswered(acknowledged)
+		row.learnAnswer(a)
+		row.markAnswered(a.number)
 		row.markUnanswered()
 		*row = requestRow{}
 	}
--- /dev/null
+++ b/core/zfcookie/room.go
@@ -0,0 +1,95 @@
+package zfcookie
+
+import (
+	"net/netip"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfload"
+	"zinniafront/core/zfroom"
+)
+
+// room is what the mapper learns of the backend servers. It belongs to the control
+// goroutine.
+type room struct {
+	// table holds the loads that were last received or, without recent ones, own.
+	table *zfroom.Table
+	// own sums what this instance reported.
+	own *zfload.Table
+	// ownUpdated is when the table was last set to own.
+	ownUpdated time.Time
+	// routes holds the learned times of each route.
+	routes map[netip.AddrPort]*routeTimes
+}
+
+func newRoom() *room {
+	return &room{
+		table: zfroom.New(zfroom.Config{
+			CookieOf: CookieOf,
+		}),
+		own:    zfload.New(),
+		routes: make(map[netip.AddrPort]*routeTimes),
+	}
+}
+
+// setRoutes sets the learned times of all routes and forgets those of removed ones.
+func (r *room) setRoutes(views []zf.RouteView, all routes) {
+	kept := make(map[netip.AddrPort]*routeTimes, len(views))
+	for _, view := range views {
+		times := r.routes[view.Address]
+		if times == nil {
+			times = &routeTimes{}
+		}
+		kept[view.Address] = times
+		all.find(view.Address).times = times
+	}
+	r.routes = kept
+}
+
+// ownInterval is the time between two updates of the table by own.
+const ownInterval = time.Second
+
+// publishTimes makes the learned service times available to the traffic goroutines.
+func (m *Mapper) publishTimes(stats map[zf.ServerIncarnation]*serverStats) {
+	for incarnation, s := range stats {
+		if row, ok := m.room.table.Server(CookieOf(incarnation.Server, incarnation.Born())); ok {
+			s.serviceTime.Store(int64(row.Time))
+		}
+	}
+}
+
+// setRoom applies a view to what is learned.
+func (m *Mapper) setRoom(view zf.View, next *snapshot, stats map[zf.ServerIncarnation]*serverStats) {
+	if m.room == nil {
+		return
+	}
+	m.room.setRoutes(view.Routes, next.routes)
+	m.room.table.SetServers(view.Servers)
+	m.publishTimes(stats)
+}
+
+// setLearnedLoads learns from the total loads.
+func (m *Mapper) setLearnedLoads(loads []zf.ServerLoad, now time.Time) {
+	if m.room == nil {
+		return
+	}
+	m.room.table.SetLoads(loads, now)
+	m.publishTimes(m.stats)
+}
+
+// recordOwnLoads keeps what this instance reports, for the time without total loads.
+func (m *Mapper) recordOwnLoads(loads []zf.ServerLoad) {
+	if m.room != nil {
+		m.room.own.Record(loads, time.Unix(0, m.lastMaintenance.Load()))
+	}
+}
+
+// useOwnLoads learns from what this instance reported itself.
+func (m *Mapper) useOwnLoads(now time.Time) {
+	if m.room == nil || now.Sub(m.room.ownUpdated) < ownInterval {
+		return
+	}
+	m.room.ownUpdated = now
+	m.room.table.SetLoads(m.room.own.Local(now), now)
+	m.publishTimes(m.stats)
+}
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -53,7 +53,10 @@
 	server := s.cookies[packet.Cookie]
 	switch {
 	case packet.Kind == zf.PacketReset && server != nil:
-		m.requests.recordEnd(zfflow.Hash(m.config.Seed, packet.Flow), server.stats, packet.Acknowledged)
+		m.requests.recordEnd(zfflow.Hash(m.config.Seed, packet.Flow), server.stats, acknowledgement{
+			number: packet.Acknowledged,
+			at:     now,
+		})
 		return forward(server)
 	case packet.Kind == zf.PacketReset:
 		return drop(zf.ReasonUnknownCookie)
@@ -69,7 +72,7 @@
 	case server.ended(now):
 		return resetServer(server, zf.ReasonServerDead)
 	}
-	result := m.observe(server, &packet, now)
+	result := m.observe(server, r, &packet, now)
 	verdict := forward(server)
 	switch {
 	case m.suspended(now):
@@ -84,19 +87,19 @@
 
 // observe updates the statistics of a backend server by a packet of one of its open
 // flows. It returns what a packet with a payload shows.
-func (m *Mapper) observe(s *server, packet *zf.Packet, now time.Time) dataResult {
+func (m *Mapper) observe(s *server, r *route, packet *zf.Packet, now time.Time) dataResult {
 	hash := zfflow.Hash(m.config.Seed, packet.Flow)
 	switch {
 	case packet.Kind == zf.PacketClosing:
-		m.requests.recordEnd(hash, s.stats, packet.Acknowledged)
+		m.requests.recordEnd(hash, s.stats, m.acknowledgement(packet, now))
 		return dataResult{}
 	case packet.PayloadSize == 0:
 		s.stats.recordAnswer(now) // A caller acknowledges only data it has received.
-		m.requests.recordAcknowledgement(hash, s.stats, packet.Acknowledged)
+		m.requests.recordAcknowledgement(hash, s.stats, m.acknowledgement(packet, now))
 		return dataResult{}
 	}
 	s.stats.recordRequest()
-	result := m.requests.recordData(hash, s.stats, packet, m.resumed(now), now)
+	result := m.requests.recordData(hash, s.stats, r.times, packet, m.resumed(now), now)
 	switch {
 	case result.answered:
 		s.stats.recordAnswer(now)
@@ -129,12 +132,13 @@
 		previous:        previous,
 		now:             now,
 		totalsKnown:     m.totalsKnown.Load(),
+		costOf:          m.config.Cost,
 	})
 	if s == nil {
 		return reset(zf.ReasonNoServer)
 	}
 	s.stats.recordOpening()
-	m.requests.recordOpening(hash, s.stats, &packet.Flow)
+	m.requests.recordOpening(hash, s.stats, &packet.Flow, newTiming(r.times, packet, now))
 	return forward(s)
 }
 
--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -10,7 +10,9 @@
 	zf "zinniafront"
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
+	"zinniafront/core/zfload"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfroom"
 	"zinniafront/io/command/zfcmd"
 	"zinniafront/io/zfcluster"
 	"zinniafront/io/zfcounter"
@@ -62,9 +64,24 @@
 	)
 }
 
+// costOf returns the cost by which a placement compares backend servers.
+func costOf(placement zfdocument.Placement) zf.Cost {
+	if placement == zfdocument.PlacementWait {
+		return zfroom.Cost{}
+	}
+	return zfload.Cost{}
+}
+
+// learnsRoom reports whether a setting needs to know what backend servers can take.
+func learnsRoom(load zfdocument.Load) bool {
+	return load.Placement == zfdocument.PlacementWait || load.Admission || load.Leaving
+}
+
 func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, logger *zfevent.Logger) *zfforwardloop.Loop {
 	mapper := zfcookie.New(zfcookie.Config{
-		Seed: flowSeed,
+		Seed:  flowSeed,
+		Cost:  costOf(settings.Load.Placement),
+		Learn: learnsRoom(settings.Load),
 	})
 	world := zfforward.New(zfforward.Config{
 		Self:     settings.Name,
--- a/ports.go
+++ b/ports.go
@@ -67,6 +67,13 @@
 	SetTotalLoads(loads []ServerLoad, now time.Time)
 }
 
+// Cost compares the backend servers that a new flow may go to.
+type Cost interface {
+	// Of returns the cost of one more request; the lowest is chosen. It is safe for
+	// concurrent use by the traffic goroutines and allocates nothing.
+	Of(use ServerUse) float64
+}
+
 // Admission decides which new flows of a service are turned away while it lacks room.
 type Admission interface {
 	// Admit reports whether a new flow may be forwarded. It is safe for concurrent use by
--- a/value.go
+++ b/value.go
@@ -259,6 +259,19 @@
 	Unopened int
 }
 
+// ServerUse is the use of a backend server that a new flow may go to.
+type ServerUse struct {
+	// Millirequests is its load in thousandths of a request, Complete is set if those of
+	// all entry instances of the data centre are included.
+	Millirequests int64
+	Complete      bool
+	Weight        float64
+	// Slots is the number of requests that it processes at a time, Time the learned time
+	// that a request occupies one, or 0.
+	Slots int
+	Time  time.Duration
+}
+
 // ServiceRoom is the load of a service's backend servers in one data centre, and what
 // they sustain.
 type ServiceRoom struct {
