Place flows by shares that make the expected wait equal

Change: the control goroutine divides the demand of a data centre so that the expected wait is the same at each backend server (zfroom.Row.Share), corrected by the difference from what each got. zf.Cost decides which backend servers are candidates, by these shares, and compares two by the instance's own requests. Answers too soon to have been processed move a route's median little, so that sustained overload doesn't pass for speed.

--- a/core/zfcookie/learn.go
+++ b/core/zfcookie/learn.go
@@ -13,6 +13,9 @@
 	// maxMedianStep and minMedianStep bound how far a sample moves a median.
 	maxMedianStep = 0.5
 	minMedianStep = 0.03
+	// rejectedStep is how far an answer to a rejected request moves a median. It is small,
+	// since an overloaded backend server rejects most requests.
+	rejectedStep = 0.002
 	// minMedian is the lower bound of a median, so that it can grow again.
 	minMedian = 50 * time.Microsecond
 	// maxAnswerFactor bounds a sample relative to the route's median, so that a single
@@ -35,8 +38,13 @@
 // add moves the estimate by a sample.
 func (m *medianTime) add(sample time.Duration) {
 	m.samples++
+	m.move(sample, min(max(1/float64(m.samples), minMedianStep), maxMedianStep))
+}
+
+// move moves the estimate towards a sample by at most a share of it.
+func (m *medianTime) move(sample time.Duration, share float64) {
 	value := float64(max(sample, minMedian))
-	step := 1 + min(max(1/float64(m.samples), minMedianStep), maxMedianStep)
+	step := 1 + share
 	switch {
 	case m.nanoseconds == 0:
 		m.nanoseconds = value
@@ -157,11 +165,12 @@
 	took := max(elapsed-roundTrip, 0)
 	shortest, known := times.answer.scaled(rejectedFactor)
 	longest, _ := times.answer.scaled(maxAnswerFactor)
-	times.answer.add(took)
 	if known && took < shortest {
+		times.answer.move(took, rejectedStep)
 		r.stats.answers.rejected.Add(1)
 		return
 	}
+	times.answer.add(took)
 	if known {
 		took = min(took, longest)
 	}
--- a/core/zfcookie/mapper_test.go
+++ b/core/zfcookie/mapper_test.go
@@ -8,6 +8,7 @@
 
 	zf "zinniafront"
 	"zinniafront/core/zfcookie"
+	"zinniafront/core/zfroom"
 	"zinniafront/lab/zfassert"
 )
 
@@ -255,6 +256,33 @@
 	packet := data(1, zfcookie.CookieOf("s1", start), 1)
 	zfassert.Equal(t, "allocations per packet", testing.AllocsPerRun(100, func() { mapper.Route(packet, start) }), 0.0)
 	zfassert.Equal(t, "allocations per new flow", testing.AllocsPerRun(100, func() { mapper.Route(opening(1, 0), start) }), 0.0)
+	learning := zfcookie.New(zfcookie.Config{
+		Seed:  1,
+		Cost:  zfroom.Cost{},
+		Learn: true,
+	})
+	learning.Tick(start, view(row(1, "orders", "one"), row(2, "orders", "one")))
+	zfassert.Equal(t, "allocations per packet, learning", testing.AllocsPerRun(100, func() { learning.Route(packet, start) }), 0.0)
+	zfassert.Equal(t, "allocations per new flow, by wait", testing.AllocsPerRun(100, func() { learning.Route(opening(1, 0), start) }), 0.0)
+}
+
+// unevenLoads returns loads of which a third is of servers that take 1.7 times the work, the
+// others 0.7 times.
+func unevenLoads(servers []zf.ServerView) []zf.ServerLoad {
+	loads := make([]zf.ServerLoad, 0, len(servers))
+	for n, server := range servers {
+		took := 14 * time.Millisecond
+		if n%3 == 2 {
+			took = 34 * time.Millisecond
+		}
+		loads = append(loads, zf.ServerLoad{
+			Cookie:   zfcookie.CookieOf(server.Name, server.Born),
+			Requests: 100,
+			Answers:  90,
+			Busy:     90 * took,
+		})
+	}
+	return loads
 }
 
 func BenchmarkRoute(b *testing.B) {
@@ -288,6 +316,19 @@
 			mapper.Route(acknowledgement, start)
 		}
 	})
+	b.Run("opening by wait", func(b *testing.B) {
+		mapper := zfcookie.New(zfcookie.Config{
+			Seed:  1,
+			Cost:  zfroom.Cost{},
+			Learn: true,
+		})
+		mapper.Tick(start, view(servers...))
+		mapper.SetTotalLoads(unevenLoads(servers), start)
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			mapper.Route(openings[i%len(openings)], start)
+		}
+	})
 	b.Run("opening", func(b *testing.B) {
 		mapper := newMapper(view(servers...))
 		b.ReportAllocs()
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -116,7 +117,8 @@
 // lessLoaded returns the one with the lower cost of the next two usable backend servers
 // of a tier, starting at an offset in the flow's order.
 func (o openingPacket) lessLoaded(tier []*server, offset int) *server {
-	var candidate *server
+	var candidate, passed *server
+	var lowest float64
 	size := uint64(len(tier))
 	start, step := o.hash%size, stride(o.hash/size, size)
 	for i := uint64(offset); i < size; i++ {
@@ -124,32 +126,43 @@
 		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) || s.stats.centre.unresponsive(s.Late, o.now) {
 			continue
 		}
-		if candidate == nil {
-			candidate = s
+		use := o.use(s)
+		if !o.costOf.Candidate(use, uint32((o.hash^uint64(s.cookie))*randomFactor>>32)) {
+			passed = s
 			continue
 		}
-		if o.cost(s) < o.cost(candidate) {
+		cost := o.costOf.Of(use)
+		switch {
+		case candidate == nil:
+			candidate, lowest = s, cost
+			continue
+		case cost < lowest:
 			return s
+		default:
+			return candidate
 		}
-		return candidate
+	}
+	if candidate == nil {
+		return passed
 	}
 	return candidate
 }
 
-// cost returns the cost of one more request at a backend server.
-func (o openingPacket) cost(s *server) float64 {
+// randomFactor is 2^64 divided by the golden ratio: products with it spread over all bits.
+const randomFactor = 0x9e3779b97f4a7c15
+
+// use returns the use of a backend server.
+func (o openingPacket) use(s *server) zf.ServerUse {
 	use := zf.ServerUse{
-		Complete: o.totalsKnown,
-		Weight:   s.Weight,
-		Slots:    s.Slots,
-		Time:     time.Duration(s.stats.serviceTime.Load()),
+		Own:    s.stats.localLoad(),
+		Weight: s.Weight,
+		Share:  math.Float64frombits(s.stats.share.Load()),
 	}
+	use.Total = use.Own
 	if o.totalsKnown {
-		use.Millirequests = s.stats.totalLoad()
-	} else {
-		use.Millirequests = s.stats.localLoad()
+		use.Total = s.stats.totalLoad()
 	}
-	return o.costOf.Of(use)
+	return use
 }
 
 // stride returns a step coprime to size, so that stepping around a ring of that size
--- a/core/zfcookie/room.go
+++ b/core/zfcookie/room.go
@@ -1,6 +1,7 @@
 package zfcookie
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -49,11 +50,11 @@
 // ownInterval is the time between two updates of the table by own.
 const ownInterval = time.Second
 
-// publishTimes makes the learned service times available to the traffic goroutines.
-func (m *Mapper) publishTimes(stats map[zf.ServerIncarnation]*serverStats) {
+// publishShares makes the shares of backend servers available to the traffic goroutines.
+func (m *Mapper) publishShares(stats map[zf.ServerIncarnation]*serverStats) {
 	for incarnation, s := range stats {
 		if row, ok := m.room.table.Server(CookieOf(incarnation.Server, incarnation.Born())); ok {
-			s.serviceTime.Store(int64(row.Time))
+			s.share.Store(math.Float64bits(row.Share))
 		}
 	}
 }
@@ -65,7 +66,7 @@
 	}
 	m.room.setRoutes(view.Routes, next.routes)
 	m.room.table.SetServers(view.Servers)
-	m.publishTimes(stats)
+	m.publishShares(stats)
 }
 
 // setLearnedLoads learns from the total loads.
@@ -74,7 +75,7 @@
 		return
 	}
 	m.room.table.SetLoads(loads, now)
-	m.publishTimes(m.stats)
+	m.publishShares(m.stats)
 }
 
 // recordOwnLoads keeps what this instance reports, for the time without total loads.
@@ -90,6 +91,6 @@
 		return
 	}
 	m.room.ownUpdated = now
-	m.room.table.SetLoads(m.room.own.Local(now), now)
-	m.publishTimes(m.stats)
+	m.room.table.SetOwnLoads(m.room.own.Local(now), now)
+	m.publishShares(m.stats)
 }
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -23,10 +23,10 @@
 	// new flow.
 	sinceTotal atomic.Int64
 	lastTotal  atomic.Int64
-	// answers counts the answers since the last report of loads, serviceTime is the
-	// learned time that a request occupies a slot, in nanoseconds, or 0.
-	answers     answerStats
-	serviceTime atomic.Int64
+	// answers counts the answers since the last report of loads. share holds the bits of
+	// zfroom.Row.Share.
+	answers answerStats
+	share   atomic.Uint64
 	// misses counts the retransmissions by callers since the last answer. Each shows
 	// that the packet before it had no answer.
 	misses atomic.Int32
--- a/core/zfroom/cost.go
+++ b/core/zfroom/cost.go
@@ -1,23 +1,20 @@
 package zfroom
 
 import (
+	"math"
+
 	zf "zinniafront"
-	"zinniafront/core/zfload"
 )
 
-// Cost implements zinniafront.Cost by the expected wait of one more request.
+// Cost implements zinniafront.Cost by the requests of this instance relative to the share
+// that makes the expected wait the same everywhere.
 type Cost struct{}
 
-// millirequest is one request in the unit of ServerUse.Millirequests.
-const millirequest = 1000
-
-// Of implements zinniafront.Cost. Where the requests of other instances are not known, it
-// is the work of the known ones, which compares backend servers at any scale.
-func (Cost) Of(use zf.ServerUse) float64 {
-	slots := max(use.Slots, 1)
-	work := float64(use.Millirequests+millirequest) / millirequest * use.Time.Seconds() / float64(slots)
-	if !use.Complete {
-		return work
-	}
-	return use.Time.Seconds() * CurveOf(slots).At(work/zfload.DecayTime.Seconds())
+// Candidate implements zinniafront.Cost: each backend server is one as often as its share
+// is of the largest.
+func (Cost) Candidate(use zf.ServerUse, random uint32) bool {
+	return float64(random) <= use.Share*math.MaxUint32
 }
+
+// Of implements zinniafront.Cost.
+func (Cost) Of(use zf.ServerUse) float64 { return float64(use.Own) / use.Share }
--- a/core/zfroom/curve.go
+++ b/core/zfroom/curve.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -62,6 +63,19 @@
 	return c.points[i] + (c.points[i+1]-c.points[i])*(position-float64(i))
 }
 
+// inverse returns the utilisation at which the wait is a multiple of the service time.
+func (c *Curve) inverse(wait float64) float64 {
+	if last := c.points[curveSteps]; wait >= last {
+		return 1 + (wait-last)/c.slope
+	}
+	i, _ := slices.BinarySearch(c.points[:], wait)
+	if i == 0 {
+		return 0
+	}
+	before, after := c.points[i-1], c.points[i]
+	return (float64(i-1) + (wait-before)/(after-before)) / curveSteps
+}
+
 // solveSteps is the number of bisections of serviceTime: it is exact to a thousandth.
 const solveSteps = 12
 
--- a/core/zfroom/table.go
+++ b/core/zfroom/table.go
@@ -22,9 +22,11 @@
 	// initialTime is the service time of a service none of whose answers has been
 	// observed.
 	initialTime = 20 * time.Millisecond
+	// minTime is the lower bound of the service time of a service.
+	minTime = 100 * time.Microsecond
 	// priorAnswers is the number of answers that a backend server's own mean needs to
 	// count as much as that of its service.
-	priorAnswers = 5
+	priorAnswers = 2
 	// minTimeFactor and maxTimeFactor bound a backend server's service time relative to
 	// the mean of its service. One that answers errors at once must not seem fast.
 	minTimeFactor = 0.5
@@ -47,8 +49,12 @@
 	Rate float64
 	// Wait is the expected wait for a slot of one more request.
 	Wait time.Duration
-	// load is the load that was last set, measured the time without a wait in it.
-	load     zf.ServerLoad
+	// Share is the rate of requests that it should get relative to the others of its
+	// service and data centre.
+	Share float64
+	// load is the load that was last set.
+	load zf.ServerLoad
+	// measured is the service time that follows from the load alone, or 0.
 	measured time.Duration
 }
 
@@ -69,8 +75,9 @@
 	config   Config
 	rows     map[zf.Cookie]*Row
 	services map[zf.ServiceName]*service
-	// updated is when the loads were last set.
+	// updated is when the loads were last set, partial is true if those are of one instance.
 	updated time.Time
+	partial bool
 }
 
 // New returns a table without rows.
@@ -110,13 +117,23 @@
 		}
 	}
 	t.rows = next
-	for _, row := range t.rows {
-		row.estimate(t.services[row.Service].time)
-	}
+	t.estimate()
 }
 
-// SetLoads replaces the loads and learns the service times from them.
+// SetLoads replaces the loads, the sums of all instances, and learns from them.
 func (t *Table) SetLoads(loads []zf.ServerLoad, now time.Time) {
+	t.partial = false
+	t.setLoads(loads, now)
+}
+
+// SetOwnLoads replaces the loads by those that one instance observed, which show service
+// times, but not how many requests others send.
+func (t *Table) SetOwnLoads(loads []zf.ServerLoad, now time.Time) {
+	t.partial = true
+	t.setLoads(loads, now)
+}
+
+func (t *Table) setLoads(loads []zf.ServerLoad, now time.Time) {
 	t.updated = now
 	for _, row := range t.rows {
 		row.load = zf.ServerLoad{}
@@ -133,9 +150,23 @@
 	for _, s := range t.services {
 		s.update()
 	}
+	t.estimate()
+}
+
+// estimate derives times, waits and shares from what was measured.
+func (t *Table) estimate() {
+	groups := make(map[key]group)
 	for _, row := range t.rows {
 		row.estimate(t.services[row.Service].time)
+		row.Share = row.Room()
+		if row.Usable && !t.partial {
+			groups[row.key()] = append(groups[row.key()], row)
+		}
 	}
+	for _, g := range groups {
+		g.share()
+	}
+	t.scaleShares()
 }
 
 // measure derives the service time from the load alone.
@@ -163,7 +194,8 @@
 
 // update computes the mean. A service without answers keeps what was learned of it.
 func (s *service) update() {
-	s.time = time.Duration((s.busy + priorAnswers*float64(s.time)) / (s.answers + priorAnswers))
+	mean := (s.busy + priorAnswers*float64(s.time)) / (s.answers + priorAnswers)
+	s.time = max(time.Duration(mean), minTime)
 	s.busy, s.answers = 0, 0
 }
 
@@ -199,6 +231,13 @@
 	centre  zf.CentreName
 }
 
+func (r *Row) key() key {
+	return key{
+		service: r.Service,
+		centre:  r.Centre,
+	}
+}
+
 // sums are the sums over the backend servers of a key.
 type sums struct {
 	room    zf.ServiceRoom
@@ -239,10 +278,7 @@
 func (t *Table) Rooms(now time.Time) []zf.ServiceRoom {
 	all := make(map[key]*sums)
 	for _, row := range t.rows {
-		k := key{
-			service: row.Service,
-			centre:  row.Centre,
-		}
+		k := row.key()
 		s := all[k]
 		if s == nil {
 			s = &sums{
--- a/ports.go
+++ b/ports.go
@@ -69,6 +69,9 @@
 
 // Cost compares the backend servers that a new flow may go to.
 type Cost interface {
+	// Candidate reports whether a backend server that may get the flow is compared with
+	// others. random is derived from the flow's hash.
+	Candidate(use ServerUse, random uint32) bool
 	// Of returns the cost of one more request; the lowest is chosen. It is safe for
 	// concurrent use by the traffic goroutines and allocates nothing.
 	Of(use ServerUse) float64
--- a/value.go
+++ b/value.go
@@ -261,15 +261,15 @@
 
 // ServerUse is the use of a backend server that a new flow may go to.
 type ServerUse struct {
-	// Millirequests is its load in thousandths of a request, Complete is set if those of
-	// all entry instances of the data centre are included.
-	Millirequests int64
-	Complete      bool
-	Weight        float64
-	// Slots is the number of requests that it processes at a time, Time the learned time
-	// that a request occupies one, or 0.
-	Slots int
-	Time  time.Duration
+	// Total is the load by all entry instances of the data centre, as far as it is known,
+	// Own that by this instance, both in thousandths of a request.
+	Total int64
+	Own   int64
+	// Weight is ServerView.Weight.
+	Weight float64
+	// Share is the rate of requests that the backend server should get relative to
+	// others, or 0 if it is not known.
+	Share float64
 }
 
 // ServiceRoom is the load of a service's backend servers in one data centre, and what
