Report loads less often where many backend servers have answers

Cause: with the new sums a row takes 24 bytes in a report and 31 in the totals; with 1,011 backend servers a report each second would be 55 KB a second. Change: the interval grows with the rows that hold more than requests, and the age limit of totals with it. Rows of requests alone, as without the settings, are sent each second.

--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -43,6 +43,7 @@
 	// they were last received.
 	totalsKnown   atomic.Bool
 	totalsUpdated time.Time
+	totalsTimeout time.Duration
 	// room is nil unless Config.Learn is set.
 	room     *room
 	revision uint64
@@ -198,8 +199,9 @@
 	return cookie
 }
 
-// totalsTimeout is the maximum age of the total loads: a few intervals of reports.
-const totalsTimeout = 5 * time.Second
+// minTotalsTimeout is the maximum age of the total loads, or the time in which they are
+// reported twice if that is longer.
+const minTotalsTimeout = 5 * time.Second
 
 // maintenanceInterval is the time between two runs of the periodic tasks: decay of the
 // loads, sweep of the requests and detection of ended flows.
@@ -209,7 +211,7 @@
 func (m *Mapper) Tick(now time.Time, view zf.View) []zf.Envelope {
 	if now.UnixNano()-m.lastMaintenance.Load() >= int64(maintenanceInterval) {
 		m.lastMaintenance.Store(now.UnixNano())
-		if now.Sub(m.totalsUpdated) >= totalsTimeout {
+		if now.Sub(m.totalsUpdated) >= m.totalsTimeout {
 			m.totalsKnown.Store(false)
 			m.useOwnLoads(now)
 		}
@@ -414,6 +416,7 @@
 	}
 	m.setLearnedLoads(loads, now)
 	m.totalsUpdated = now
+	m.totalsTimeout = max(minTotalsTimeout, 2*zfload.ReportInterval(loads))
 	m.totalsKnown.Store(true)
 }
 
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -11,6 +11,7 @@
 
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfload"
 	"zinniafront/core/zfregistry"
 )
 
@@ -39,10 +40,6 @@
 // to instances with current state. Trying all known addresses takes about two seconds.
 const isolationTimeout = 2500 * time.Millisecond
 
-// loadInterval is the time between two reports of loads: flows send a request every
-// one to three seconds.
-const loadInterval = time.Second
-
 // Reply is the reply of a control instance, or of another entry instance, to a fetch.
 type Reply struct {
 	// HasPeers is true if there are other entry instances.
@@ -91,6 +88,8 @@
 	entry    rotationEntry
 	// loadsReported is when the loads of backend servers were last reported.
 	loadsReported time.Time
+	// loadInterval is the time between two such reports.
+	loadInterval  time.Duration
 	viewRevisions revisions
 }
 
@@ -118,6 +117,8 @@
 		config:   config,
 		registry: zfregistry.New(config.Registry),
 		restored: make(map[zf.CentreName]time.Time),
+
+		loadInterval: zfload.ReportInterval(nil),
 		view: zf.View{
 			Self:   config.Self,
 			Centre: config.Centre,
@@ -142,10 +143,10 @@
 	return w.config.Observer.UnresponsiveCentres(now)
 }
 
-// Loads returns the requests to each backend server since the last report, or nil if
-// that was less than loadInterval ago.
+// Loads returns the load of each backend server since the last report, or nil if that was
+// less than the interval of reports ago.
 func (w *World) Loads(now time.Time) []zf.ServerLoad {
-	if now.Sub(w.loadsReported) < loadInterval {
+	if now.Sub(w.loadsReported) < w.loadInterval {
 		return nil
 	}
 	w.loadsReported = now
@@ -169,6 +170,7 @@
 	}
 	w.registry.Merge(reply.Changes, now)
 	if reply.Loads != nil {
+		w.loadInterval = zfload.ReportInterval(reply.Loads)
 		w.config.Observer.SetTotalLoads(reply.Loads, now)
 	}
 	changed := reply.State != nil && reply.State.Index > w.state.Index
