Show the room of services on the metrics address

Cause: operators can't see the wait that placement works with. Change: control instances set four gauges a service, each second, where a setting of load needs the room. Result: go test ./io/zfcounter ./io/zfcontrollerloop ./io/command/zfservecmd passes.

--- a/core/zfcontroller/room.go
+++ b/core/zfcontroller/room.go
@@ -49,3 +49,9 @@
 	r.rooms = r.table.Rooms(now)
 	return r.rooms
 }
+
+// ServiceTime returns the mean time that a request occupies a slot of a service's backend
+// servers, as of the last call of Rooms.
+func (w *World) ServiceTime(service zf.ServiceName) time.Duration {
+	return w.room.table.ServiceTime(service)
+}
--- a/core/zfroom/table.go
+++ b/core/zfroom/table.go
@@ -225,6 +225,15 @@
 	return Row{}, false
 }
 
+// ServiceTime returns the mean service time of a service's backend servers at full speed,
+// or 0 if it has none.
+func (t *Table) ServiceTime(name zf.ServiceName) time.Duration {
+	if s := t.services[name]; s != nil {
+		return s.time
+	}
+	return 0
+}
+
 // key identifies a service in a data centre.
 type key struct {
 	service zf.ServiceName
--- a/io/command/zfservecmd/controller.go
+++ b/io/command/zfservecmd/controller.go
@@ -97,6 +97,7 @@
 		Clock:       p.Factory.Clock,
 		Counters:    p.Counters,
 		Logger:      p.Logger,
+		CountRoom:   learnsRoom(p.Settings.Load),
 
 		SubscriberStore: p.Folder.File(subscribersFile),
 	})
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -57,8 +57,13 @@
 	Logger          *zfevent.Logger
 	// Counters count received and refused messages, and time operations and saves.
 	Counters *zfcounter.Set
+	// CountRoom is set if the counters include the room of services.
+	CountRoom bool
 }
 
+// roomInterval is the time between two updates of the room of services in the counters.
+const roomInterval = time.Second
+
 // Loop runs the control goroutine and passes calls to it through an inbox.
 type Loop struct {
 	config       Config
@@ -66,6 +71,8 @@
 	done         chan struct{}
 	recordSaves  chan recordSave
 	savingRecord bool
+	// roomCounted is when the room of services was last counted.
+	roomCounted time.Time
 	// serverSaves passes tables of backend servers to the saver; savedServersRevision is
 	// the content revision of the last one, lastServersSave the time it was passed.
 	serverSaves          chan []zfregistry.Update
@@ -130,6 +137,7 @@
 		}
 		now := l.config.Clock.Now()
 		l.config.World.Tick(now)
+		l.countRoom(now)
 		l.flush(now)
 	}
 }
@@ -282,6 +290,19 @@
 	}
 }
 
+// countRoom updates the room of the services of this data centre in the counters.
+func (l *Loop) countRoom(now time.Time) {
+	if !l.config.CountRoom || now.Sub(l.roomCounted) < roomInterval {
+		return
+	}
+	l.roomCounted = now
+	for _, room := range l.config.World.Rooms(now) {
+		if room.Centre == l.config.World.Replica().Self().Centre {
+			l.config.Counters.SetRoom(room, l.config.World.ServiceTime(room.Service))
+		}
+	}
+}
+
 // SetSeeds replaces the possible addresses of other control instances.
 func (l *Loop) SetSeeds(seeds []netip.AddrPort) {
 	l.enqueue(func(time.Time) { l.config.World.Replica().SetSeeds(seeds) })
--- a/io/zfcounter/counter_test.go
+++ b/io/zfcounter/counter_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	zf "zinniafront"
 	"zinniafront/io/zfcounter"
@@ -19,7 +20,11 @@
 		})
 	}
 	t.Run("every counter", func(t *testing.T) {
-		zfcounter.New().Registry.Each(func(name string, _ any) {
+		set := zfcounter.New()
+		set.SetRoom(zf.ServiceRoom{
+			Service: "orders",
+		}, time.Millisecond)
+		set.Registry.Each(func(name string, _ any) {
 			prefix := name
 			if parts := strings.Split(name, "."); len(parts) == 3 {
 				prefix = parts[0] + "." + parts[1]
