Follow a burst within a second in the room of services

Cause: sums that decay over three seconds show a burst of five times as 2.1 times after a second; who decides on it would be late. Change: the demand and the wait of zf.ServiceRoom follow the requests of the last second; services that are gone are forgotten; a test of the room at control instances.

--- a/core/zfcookie/queue_test.go
+++ b/core/zfcookie/queue_test.go
@@ -218,6 +218,9 @@
 		CookieOf: zfcookie.CookieOf,
 	})
 	table.SetServers(m.view.Servers)
-	table.SetLoads(m.loads.Total(m.now), m.now)
+	for range 20 {
+		table.SetLoads(m.loads.Total(m.now), m.now)
+		m.run(100*time.Millisecond, 0)
+	}
 	return table
 }
--- a/core/zfroom/table.go
+++ b/core/zfroom/table.go
@@ -75,6 +75,7 @@
 	config   Config
 	rows     map[zf.Cookie]*Row
 	services map[zf.ServiceName]*service
+	trends   map[key]*trend
 	// updated is when the loads were last set, partial is true if those are of one instance.
 	updated time.Time
 	partial bool
@@ -93,6 +94,7 @@
 // them; another incarnation begins with the mean of its service.
 func (t *Table) SetServers(rows []zf.ServerView) {
 	next := make(map[zf.Cookie]*Row, len(rows))
+	services := make(map[zf.ServiceName]*service, len(t.services))
 	for _, view := range rows {
 		if view.State == zf.ServerGone {
 			continue
@@ -110,16 +112,25 @@
 		row.Usable = view.Allowed && view.Weight > 0 && view.State != zf.ServerSilent && !view.Suspect
 		row.Weight = view.Weight
 		next[cookie] = row
-		if t.services[view.Service] == nil {
-			t.services[view.Service] = &service{
-				time: initialTime,
-			}
+		if services[view.Service] == nil {
+			services[view.Service] = t.service(view.Service)
 		}
 	}
 	t.rows = next
+	t.services = services
 	t.estimate()
 }
 
+// service returns what is known of a service.
+func (t *Table) service(name zf.ServiceName) *service {
+	if known := t.services[name]; known != nil {
+		return known
+	}
+	return &service{
+		time: initialTime,
+	}
+}
+
 // SetLoads replaces the loads, the sums of all instances, and learns from them.
 func (t *Table) SetLoads(loads []zf.ServerLoad, now time.Time) {
 	t.partial = false
@@ -151,6 +162,7 @@
 		s.update()
 	}
 	t.estimate()
+	t.updateTrends(now)
 }
 
 // estimate derives times, waits and shares from what was measured.
@@ -249,6 +261,7 @@
 
 // sums are the sums over the backend servers of a key.
 type sums struct {
+	trend   float64
 	room    zf.ServiceRoom
 	wait    float64
 	waits   float64
@@ -257,7 +270,7 @@
 }
 
 func (s *sums) add(r *Row) {
-	s.room.Demand += r.Rate
+	s.room.Demand += r.Rate * s.trend
 	s.bytes += float64(r.load.Bytes)
 	s.answers += float64(r.load.Answers)
 	if !r.Usable {
@@ -265,8 +278,8 @@
 	}
 	s.room.Servers++
 	s.room.Room += r.Room()
-	requests := float64(r.load.Requests + 1)
-	s.wait += requests * float64(r.Wait)
+	requests := s.trend*float64(r.load.Requests) + 1
+	s.wait += requests * float64(expectedWait(r.Slots, r.Time, requests/zfload.DecayTime.Seconds()))
 	s.waits += requests
 }
 
@@ -291,6 +304,7 @@
 		s := all[k]
 		if s == nil {
 			s = &sums{
+				trend: t.trendOf(k),
 				room: zf.ServiceRoom{
 					Service: row.Service,
 					Centre:  row.Centre,
--- a/core/zfroom/table_test.go
+++ b/core/zfroom/table_test.go
@@ -140,6 +140,35 @@
 	zfassert.True(t, "room elsewhere", rooms[1].Room > 50)
 }
 
+// TestBurst replays five times the requests from one second to the next, reported by four
+// instances.
+func TestBurst(t *testing.T) {
+	table := newTable(view("a", start))
+	loads := zfload.New()
+	now := start
+	report := func(requests int) zf.ServiceRoom {
+		for range 4 {
+			now = now.Add(250 * time.Millisecond)
+			loads.Record([]zf.ServerLoad{load("a", requests/4, 20*time.Millisecond)}, now)
+		}
+		table.SetLoads(loads.Total(now), now)
+		return table.Rooms(now)[0]
+	}
+	for range 20 {
+		report(40)
+	}
+	steady := report(40)
+	zfassert.AtMost(t, "steady demand", steady.Demand, 44)
+	zfassert.True(t, "steady demand", steady.Demand > 36)
+	burst := report(200)
+	zfassert.True(t, "demand after a second", burst.Demand > 160)
+	zfassert.True(t, "wait after a second", burst.Wait > 100*time.Millisecond)
+	for range 2 {
+		burst = report(40)
+	}
+	zfassert.AtMost(t, "demand after the burst", burst.Demand, 60)
+}
+
 func TestCurve(t *testing.T) {
 	for _, slots := range []int{0, 1, 2, 64, 1000} {
 		curve := zfroom.CurveOf(slots)
