--- a/core/zfcookie/room.go
+++ b/core/zfcookie/room.go
@@ -27,6 +27,7 @@
 	return &room{
 		table: zfroom.New(zfroom.Config{
 			CookieOf: CookieOf,
+			Shares:   true,
 		}),
 		own:    zfload.New(),
 		routes: make(map[netip.AddrPort]*routeTimes),
--- a/core/zfroom/share.go
+++ b/core/zfroom/share.go
@@ -70,6 +70,21 @@
 // considered for a new flow.
 const minShare = 1.0 / 16
 
+// share sets the shares of all rows.
+func (t *Table) share() {
+	groups := make(map[key]group)
+	for _, row := range t.rows {
+		row.Share = row.Room()
+		if row.Usable && !t.partial {
+			groups[row.key()] = append(groups[row.key()], row)
+		}
+	}
+	for _, g := range groups {
+		g.share()
+	}
+	t.scaleShares()
+}
+
 // scaleShares divides the shares by the largest of their service.
 func (t *Table) scaleShares() {
 	largest := make(map[zf.ServiceName]float64, len(t.services))
--- a/core/zfroom/table.go
+++ b/core/zfroom/table.go
@@ -16,6 +16,8 @@
 type Config struct {
 	// CookieOf returns the cookie of one incarnation of a backend server.
 	CookieOf func(name zf.ServerName, born time.Time) zf.Cookie
+	// Shares is set if Row.Share is needed.
+	Shares bool
 }
 
 const (
@@ -50,7 +52,7 @@
 	// Wait is the expected wait for a slot of one more request.
 	Wait time.Duration
 	// Share is the rate of requests that it should get relative to the others of its
-	// service and data centre.
+	// service and data centre, as a part of the largest of the service.
 	Share float64
 	// load is the load that was last set.
 	load zf.ServerLoad
@@ -167,18 +169,12 @@
 
 // estimate derives times, waits and shares from what was measured.
 func (t *Table) estimate() {
-	groups := make(map[key]group)
 	for _, row := range t.rows {
 		row.estimate(t.services[row.Service].time)
-		row.Share = row.Room()
-		if row.Usable && !t.partial {
-			groups[row.key()] = append(groups[row.key()], row)
-		}
 	}
-	for _, g := range groups {
-		g.share()
+	if t.config.Shares {
+		t.share()
 	}
-	t.scaleShares()
 }
 
 // measure derives the service time from the load alone.
--- a/core/zfroom/table_test.go
+++ b/core/zfroom/table_test.go
@@ -40,6 +40,7 @@
 func newTable(views ...zf.ServerView) *zfroom.Table {
 	table := zfroom.New(zfroom.Config{
 		CookieOf: zfcookie.CookieOf,
+		Shares:   true,
 	})
 	table.SetServers(views)
 	return table
