--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/xxh3"
 
 	zf "zinniafront"
+	"zinniafront/core/zfload"
 	"zinniafront/core/zfopening"
 )
 
@@ -27,6 +28,11 @@
 	// Admission decides which new flows are turned away for lack of room, or is nil if
 	// none are.
 	Admission zf.Admission
+	// Cost compares the backend servers that a new flow may go to. It is zfload.Cost if
+	// it is nil.
+	Cost zf.Cost
+	// Learn is set if the service times of backend servers are learned and reported.
+	Learn bool
 }
 
 // Mapper implements zinniafront.Mapper and zinniafront.Observer.
@@ -50,7 +56,10 @@
 	// they were last received.
 	totalsKnown   atomic.Bool
 	totalsUpdated time.Time
-	revision      uint64
+	totalsTimeout time.Duration
+	// room is nil unless Config.Learn is set.
+	room     *room
+	revision uint64
 	// lastMaintenance is when the periodic tasks last ran, in Unix nanoseconds.
 	lastMaintenance atomic.Int64
 	// resumedAt is when this instance last went on after a suspension, in Unix
@@ -132,6 +141,8 @@
 	// targetLatency and priority are those of the route's view.
 	targetLatency time.Duration
 	priority      int
+	// times is nil unless Config.Learn is set.
+	times *routeTimes
 	// total is the sum of the weights of all targets.
 	total uint64
 }
@@ -149,6 +160,8 @@
 	tiers [tierCount][]*server
 	// departures are the shares of new flows that go to other data centres first.
 	departures []departure
+	// costOf compares the backend servers that a new flow may go to.
+	costOf zf.Cost
 }
 
 // The tiers of a pool.
@@ -181,6 +194,9 @@
 
 // New returns a mapper without routes and backend servers.
 func New(config Config) *Mapper {
+	if config.Cost == nil {
+		config.Cost = zfload.Cost{}
+	}
 	m := &Mapper{
 		config: config,
 		stats:  make(map[zf.ServerIncarnation]*serverStats),
@@ -190,6 +206,9 @@
 	if config.Openings {
 		m.openings = zfopening.New()
 	}
+	if config.Learn {
+		m.room = newRoom()
+	}
 	return m
 }
 
@@ -204,8 +223,9 @@
 	return cookie
 }
 
-// totalsTimeout is the maximum age of the total loads: a few intervals of reports.
-const totalsTimeout = 5 * time.Second
+// minTotalsTimeout is the maximum age of the total loads, or the time in which they are
+// reported twice if that is longer.
+const minTotalsTimeout = 5 * time.Second
 
 // maintenanceInterval is the time between two runs of the periodic tasks: decay of the
 // loads, sweep of the requests and detection of ended flows.
@@ -215,8 +235,9 @@
 func (m *Mapper) Tick(now time.Time, view zf.View) []zf.Envelope {
 	if now.UnixNano()-m.lastMaintenance.Load() >= int64(maintenanceInterval) {
 		m.lastMaintenance.Store(now.UnixNano())
-		if now.Sub(m.totalsUpdated) >= totalsTimeout {
+		if now.Sub(m.totalsUpdated) >= m.totalsTimeout {
 			m.totalsKnown.Store(false)
+			m.useOwnLoads(now)
 		}
 		suspended := m.requests.sweep(now)
 		if suspended {
@@ -284,6 +305,7 @@
 	for _, s := range next.cookies {
 		if pools[s.Service] == nil {
 			pools[s.Service] = &pool{
+				costOf:  m.config.Cost,
 				service: s.Service,
 			}
 		}
@@ -305,6 +327,7 @@
 	}
 	next.recordRemoved(m.current.Load(), now)
 	m.setColdCentres(view.Servers)
+	m.setRoom(view, next, stats)
 	m.stats = stats
 	m.current.Store(next)
 }
@@ -414,14 +437,17 @@
 		load := zf.ServerLoad{
 			Requests: int(s.unreported.Swap(0)),
 		}
+		s.answers.take(&load)
 		if s.opening != nil {
 			load.Opened, load.Unopened = s.opening.Take()
 		}
-		if load != (zf.ServerLoad{}) {
-			load.Cookie = CookieOf(incarnation.Server, incarnation.Born())
-			loads = append(loads, load)
+		if load == (zf.ServerLoad{}) {
+			continue
 		}
+		load.Cookie = CookieOf(incarnation.Server, incarnation.Born())
+		loads = append(loads, load)
 	}
+	m.recordOwnLoads(loads)
 	return loads
 }
 
@@ -435,7 +461,9 @@
 		s.setTotal(requests[CookieOf(incarnation.Server, incarnation.Born())])
 	}
 	m.setOpeningSums(loads, now)
+	m.setLearnedLoads(loads, now)
 	m.totalsUpdated = now
+	m.totalsTimeout = max(minTotalsTimeout, 2*zfload.ReportInterval(loads))
 	m.totalsKnown.Store(true)
 }
 
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -85,7 +86,7 @@
 func (p *pool) find(o openingPacket) (s *server, probe bool) {
 	offset := 2 * o.retransmissions
 	if offset < len(o.away) {
-		if s := o.lessLoaded(o.away, offset); s != nil {
+		if s := o.lessLoaded(o.away, offset, p.costOf); s != nil {
 			return s, true
 		}
 	}
@@ -97,7 +98,7 @@
 			offset -= len(tier)
 			continue
 		}
-		if s := o.lessLoaded(tier, offset); s != nil {
+		if s := o.lessLoaded(tier, offset, p.costOf); s != nil {
 			return s, true
 		}
 		offset = 0
@@ -126,8 +127,9 @@
 
 // lessLoaded returns the one with the lower cost of the next two usable backend servers
 // of a tier, starting at an offset in the flow's order.
-func (o openingPacket) lessLoaded(tier []*server, offset int) *server {
-	var candidate *server
+func (o openingPacket) lessLoaded(tier []*server, offset int, costOf zf.Cost) *server {
+	var candidate, passed *server
+	var lowest float64
 	size := uint64(len(tier))
 	start, step := o.hash%size, stride(o.hash/size, size)
 	for i := uint64(offset); i < size; i++ {
@@ -135,24 +137,43 @@
 		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) || s.stats.centre.unresponsive(s.Late, o.now) || o.passesOver(s) {
 			continue
 		}
-		if candidate == nil {
-			candidate = s
+		use := o.use(s)
+		if !costOf.Candidate(use, uint32((o.hash^uint64(s.cookie))*randomFactor>>32)) {
+			passed = s
 			continue
 		}
-		if o.cost(s) < o.cost(candidate) {
+		cost := costOf.Of(use)
+		switch {
+		case candidate == nil:
+			candidate, lowest = s, cost
+			continue
+		case cost < lowest:
 			return s
+		default:
+			return candidate
 		}
-		return candidate
+	}
+	if candidate == nil {
+		return passed
 	}
 	return candidate
 }
 
-// cost returns the load of a backend server relative to its weight.
-func (o openingPacket) cost(s *server) float64 {
+// randomFactor is 2^64 divided by the golden ratio: products with it spread over all bits.
+const randomFactor = 0x9e3779b97f4a7c15
+
+// use returns the use of a backend server.
+func (o openingPacket) use(s *server) zf.ServerUse {
+	use := zf.ServerUse{
+		Own:    s.stats.localLoad(),
+		Weight: s.Weight,
+		Share:  math.Float64frombits(s.stats.share.Load()),
+	}
+	use.Total = use.Own
 	if o.totalsKnown {
-		return float64(s.stats.totalLoad()+1) / s.Weight
+		use.Total = s.stats.totalLoad()
 	}
-	return float64(s.stats.localLoad()+1) / s.Weight
+	return use
 }
 
 // stride returns a step coprime to size, so that stepping around a ring of that size
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -58,10 +58,11 @@
 	retransmissions int
 	// unanswered is true if the request has been counted as unanswered.
 	unanswered bool
+	timing     requestTiming
 }
 
 // recordOpening records an opening packet.
-func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow, ticket zfopening.Ticket) {
+func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow, ticket zfopening.Ticket, timing requestTiming) {
 	t.mutex.Lock()
 	t.rows[hash%requestRows] = requestRow{
 		hash:    hash,
@@ -69,6 +70,7 @@
 		stats:   stats,
 		opening: true,
 		ticket:  ticket,
+		timing:  timing,
 	}
 	t.mutex.Unlock()
 }
@@ -101,7 +103,7 @@
 // recordData records a packet with a payload. queued is true if it may have waited for this
 // instance during a suspension: then it may have been answered through another one, and
 // whether it is answered here is not followed.
-func (t *requestTable) recordData(hash uint64, stats *serverStats, packet *zf.Packet, queued bool, now time.Time) dataResult {
+func (t *requestTable) recordData(hash uint64, stats *serverStats, times *routeTimes, packet *zf.Packet, queued bool, now time.Time) dataResult {
 	var result dataResult
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -119,8 +121,12 @@
 			hash:  hash,
 			flow:  packet.Flow,
 			stats: stats,
+			timing: requestTiming{
+				times: times,
+			},
 		}
 	} else {
+		row.learnRest(packet.Acknowledged, queued, now)
 		result.retransmitted = !row.opening && row.sequence == packet.Sequence
 		result.answered = row.markAnswered(packet.Acknowledged) || row.opening
 	}
@@ -151,26 +157,28 @@
 
 // recordAcknowledgement records a packet without a payload, which may show that a
 // request was answered.
-func (t *requestTable) recordAcknowledgement(hash uint64, stats *serverStats, acknowledged uint32) openedFlow {
+func (t *requestTable) recordAcknowledgement(hash uint64, stats *serverStats, a acknowledgement) openedFlow {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	row := &t.rows[hash%requestRows]
 	if row.hash == hash && row.stats == stats {
-		row.markAnswered(acknowledged)
-		row.lastAcknowledged = acknowledged
+		row.learnAnswer(a)
+		row.markAnswered(a.number)
+		row.lastAcknowledged = a.number
 	}
 	return row.takeOpened(hash)
 }
 
 // recordEnd records that the caller ends the flow. A request that still waits for its
 // answer counts as unanswered.
-func (t *requestTable) recordEnd(hash uint64, stats *serverStats, acknowledged uint32) openedFlow {
+func (t *requestTable) recordEnd(hash uint64, stats *serverStats, a acknowledgement) openedFlow {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	row := &t.rows[hash%requestRows]
 	opened := row.takeOpened(hash)
 	if row.hash == hash && row.stats == stats {
-		row.markAnswered(acknowledged)
+		row.learnAnswer(a)
+		row.markAnswered(a.number)
 		row.markUnanswered()
 		*row = requestRow{}
 	}
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -25,6 +25,10 @@
 	// new flow.
 	sinceTotal atomic.Int64
 	lastTotal  atomic.Int64
+	// answers counts the answers since the last report of loads. share holds the bits of
+	// zfroom.Row.Share.
+	answers answerStats
+	share   atomic.Uint64
 	// misses counts the retransmissions by callers since the last answer. Each shows
 	// that the packet before it had no answer.
 	misses atomic.Int32
--- a/core/zfforward/stepout.go
+++ b/core/zfforward/stepout.go
@@ -98,7 +98,7 @@
 // loadsInterval returns the time between two reports of loads.
 func (w *World) loadsInterval() time.Duration {
 	if w.strain == zf.StrainNone {
-		return loadInterval
+		return w.loadInterval
 	}
-	return strainedLoadInterval
+	return 2 * w.loadInterval
 }
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -11,6 +11,7 @@
 
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfload"
 	"zinniafront/core/zfregistry"
 	"zinniafront/core/zfresource"
 )
@@ -42,13 +43,6 @@
 // to instances with current state. Trying all known addresses takes about two seconds.
 const isolationTimeout = 2500 * time.Millisecond
 
-// loadInterval is the time between two reports of loads: flows send a request every
-// one to three seconds.
-const loadInterval = time.Second
-
-// strainedLoadInterval is the same while resources are short; totals are trusted for longer.
-const strainedLoadInterval = 2 * time.Second
-
 // Reply is the reply of a control instance, or of another entry instance, to a fetch.
 type Reply struct {
 	// HasPeers is true if there are other entry instances.
@@ -103,6 +97,8 @@
 	// loadsReported is when the loads of backend servers were last reported.
 	loadsReported time.Time
 	limits        receivedLimits
+	// loadInterval is the time between two such reports.
+	loadInterval  time.Duration
 	viewRevisions revisions
 	departures    departures
 }
@@ -134,7 +130,8 @@
 		registry: zfregistry.New(config.Registry),
 		restored: make(map[zf.CentreName]time.Time),
 
-		resources: zfresource.New(),
+		resources:    zfresource.New(),
+		loadInterval: zfload.ReportInterval(nil),
 		view: zf.View{
 			Self:   config.Self,
 			Centre: config.Centre,
@@ -163,8 +160,8 @@
 // from opening packets.
 func (w *World) OpeningVerdicts() []zf.OpeningVerdict { return w.config.Observer.OpeningVerdicts() }
 
-// Loads returns the requests to each backend server since the last report, or nil if
-// that was less than loadsInterval ago.
+// Loads returns the load of each backend server since the last report, or nil if that was
+// less than the interval of reports ago.
 func (w *World) Loads(now time.Time) []zf.ServerLoad {
 	if now.Sub(w.loadsReported) < w.loadsInterval() {
 		return nil
@@ -190,6 +187,7 @@
 	}
 	w.registry.Merge(reply.Changes, now)
 	if reply.Loads != nil {
+		w.loadInterval = zfload.ReportInterval(reply.Loads)
 		w.config.Observer.SetTotalLoads(reply.Loads, now)
 		w.departures.update(reply.Departures, w.config.Leaving, now)
 		w.limits.replace(reply.Limits, now)
--- a/value.go
+++ b/value.go
@@ -248,6 +248,9 @@
 	// the round trip to the caller.
 	Answers int
 	Busy    time.Duration
+	// Rejected is the number of requests that were answered too soon to have been
+	// processed; they are not among Answers.
+	Rejected int
 	// Bytes is the size of these answers.
 	Bytes int
 	// Opened is the number of new flows whose callers went on after the opening packet,
@@ -276,6 +279,19 @@
 	Timeout time.Duration
 }
 
+// ServerUse is the use of a backend server that a new flow may go to.
+type ServerUse struct {
+	// Total is the load by all entry instances of the data centre, as far as it is known,
+	// Own that by this instance, both in thousandths of a request.
+	Total int64
+	Own   int64
+	// Weight is ServerView.Weight.
+	Weight float64
+	// Share is the rate of requests that the backend server should get relative to
+	// others, or 0 if it is not known.
+	Share float64
+}
+
 // ServiceRoom is the load of a service's backend servers in one data centre, and what
 // they sustain.
 type ServiceRoom struct {
