Keep copies at home also where few backend servers are there

Cause: a copy of an opening packet whose first target was in another data centre skipped the first pair at home, though none of it had been tried. With two backend servers at home or fewer it went to other data centres again, also to the one that had not answered. Change: after a departure the pairs at home are tried from the first.

--- a/core/zfcookie/departure.go
+++ b/core/zfcookie/departure.go
@@ -36,18 +36,21 @@
 	}
 }
 
-// away returns the backend servers that a new flow goes to although there are others in
-// its data centre, or nil. Retransmissions of its opening packet go to them as well, unless
-// previous, which got the last one, left it unanswered.
-func (p *pool) away(hash uint64, previous *serverStats) []*server {
-	if previous != nil {
-		return nil
-	}
-	point := hash * departureMix >> 32
+// depart sets the backend servers that a new flow tries first if it leaves the data centre.
+// Retransmissions of its opening packet go to them as well, unless previous, which got the
+// last one, left it unanswered: then those at home are tried from the first pair.
+func (p *pool) depart(o openingPacket) openingPacket {
+	point := o.hash * departureMix >> 32
 	for i := range p.departures {
-		if point < p.departures[i].below {
-			return p.departures[i].servers
+		if point >= p.departures[i].below {
+			continue
+		}
+		if o.previous == nil {
+			o.away = p.departures[i].servers
+		} else {
+			o.retransmissions--
 		}
+		break
 	}
-	return nil
+	return o
 }
--- a/core/zfcookie/departure_test.go
+++ b/core/zfcookie/departure_test.go
@@ -56,6 +56,17 @@
 		zfassert.Equal(t, "first", mapper.Route(opening(1, 0), start).Number, uint64(2))
 		zfassert.Equal(t, "copy", mapper.Route(opening(1, 1), start).Number, uint64(1))
 	})
+	t.Run("a copy stays also where few backend servers are at home", func(t *testing.T) {
+		servers := []zf.ServerView{row(1, "orders", "one"), row(2, "orders", "one")}
+		for n := range uint64(8) {
+			servers = append(servers, row(10+n, "orders", "two"))
+		}
+		for port := range 20 {
+			mapper := newMapper(departingView(1, servers...))
+			zfassert.True(t, "first leaves", mapper.Route(opening(port, 0), start).Number >= 10)
+			zfassert.True(t, "copy stays", mapper.Route(opening(port, 1), start).Number < 10)
+		}
+	})
 	t.Run("flows stay if no backend server there takes new flows", func(t *testing.T) {
 		out, suspect, draining := row(2, "orders", "two"), row(4, "orders", "two"), row(5, "orders", "two")
 		out.Allowed, suspect.Suspect = false, true
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -123,14 +123,13 @@
 	if p == nil {
 		return reset(zf.ReasonNoServer)
 	}
-	s := p.choose(openingPacket{
+	s := p.choose(p.depart(openingPacket{
 		hash:            hash,
-		away:            p.away(hash, previous),
 		retransmissions: packet.Retransmissions,
 		previous:        previous,
 		now:             now,
 		totalsKnown:     m.totalsKnown.Load(),
-	})
+	}))
 	if s == nil {
 		return reset(zf.ReasonNoServer)
 	}
