Leave for a silent data centre only as probes

Cause: each backend server of a dead or cut-off data centre may be probed once a second by each entry instance. With 30 of them these probes took all flows that were to leave, 20 of 20 a second, until the figures were old and the share had fallen; each was 0.2 s late. Change: after three unanswered packets of a data centre without any answer of it, an entry instance lets one flow a second leave for it. Result: TestDepartureToSilentCentre failed before (20 a second) and passes: flows of 0.4 s, then one a second, and all again once it answers.

--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -22,6 +22,10 @@
 	// unresponsiveTimeout is how long a data centre counts as unresponsive. Packets sent
 	// afterwards show whether it answers again.
 	unresponsiveTimeout = time.Second
+	// silentMisses is the number of unanswered packets, without any answer of the data
+	// centre in between, after which new flows leave for it only as probes. Each of its
+	// backend servers may be probed, which together would take all flows that leave.
+	silentMisses = 3
 )
 
 // centreStats holds this instance's statistics of the backend servers of one data
@@ -34,6 +38,10 @@
 	// nanoseconds.
 	lastAnswer     atomic.Int64
 	unresponsiveAt atomic.Int64
+	// misses counts the unanswered packets since the last answer. nextProbe is the earliest
+	// time of the next new flow that leaves for a silent data centre, in Unix nanoseconds.
+	misses    atomic.Int32
+	nextProbe atomic.Int64
 }
 
 // recordAnswer records that a backend server of the data centre answered a caller.
@@ -42,6 +50,26 @@
 	if at := now.UnixNano(); at-c.lastAnswer.Load() >= int64(time.Millisecond) {
 		c.lastAnswer.Store(at)
 	}
+	if c.misses.Load() != 0 {
+		c.misses.Store(0)
+	}
+}
+
+// recordMiss records that a backend server of the data centre left a packet unanswered.
+func (c *centreStats) recordMiss(now time.Time) {
+	if c.misses.Add(1) == silentMisses {
+		c.nextProbe.Store(now.Add(probeInterval).UnixNano())
+	}
+}
+
+// acquireProbe reports whether a new flow may leave for the data centre: while that is silent,
+// one in each probeInterval.
+func (c *centreStats) acquireProbe(now time.Time) bool {
+	if c.misses.Load() < silentMisses {
+		return true
+	}
+	due := c.nextProbe.Load()
+	return now.UnixNano() >= due && c.nextProbe.CompareAndSwap(due, now.Add(probeInterval).UnixNano())
 }
 
 // unresponsive reports whether the data centre was found unresponsive and has not
--- a/core/zfcookie/departure.go
+++ b/core/zfcookie/departure.go
@@ -13,6 +13,8 @@
 	// below is the bound of the points of the flows of this departure and those before it.
 	below   uint64
 	servers []*server
+	// centre holds the statistics of the other data centre.
+	centre *centreStats
 }
 
 // departureRange is the number of points that flows are spread over.
@@ -23,7 +25,7 @@
 
 // setDeparture sets the shares of new flows that leave. Data centres without usable backend
 // servers get none.
-func (p *pool) setDeparture(view zf.Departure) {
+func (m *Mapper) setDeparture(p *pool, view zf.Departure) {
 	sum := 0.0
 	for _, to := range view.To {
 		sum = min(sum+max(to.Share, 0), 1)
@@ -32,23 +34,27 @@
 			servers: slices.DeleteFunc(slices.Clone(p.tiers[tierRemote]), func(s *server) bool {
 				return s.Centre != to.Centre
 			}),
+			centre: m.centreOf(to.Centre),
 		})
 	}
 }
 
 // depart sets the backend servers that a new flow tries first if it leaves the data centre.
 // Retransmissions of its opening packet go to them as well, unless previous, which got the
-// last one, left it unanswered: then those at home are tried from the first pair.
+// last one, left it unanswered: then those at home are tried from the first pair. To a silent
+// data centre only probes leave.
 func (p *pool) depart(o openingPacket) openingPacket {
 	point := o.hash * departureMix >> 32
 	for i := range p.departures {
-		if point >= p.departures[i].below {
+		d := &p.departures[i]
+		if point >= d.below {
 			continue
 		}
-		if o.previous == nil {
-			o.away = p.departures[i].servers
-		} else {
+		switch {
+		case o.previous != nil:
 			o.retransmissions--
+		case d.centre.acquireProbe(o.now):
+			o.away = d.servers
 		}
 		break
 	}
--- a/core/zfcookie/departure_test.go
+++ b/core/zfcookie/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	zf "zinniafront"
 	"zinniafront/core/zfcookie"
@@ -91,3 +92,57 @@
 		zfassert.Equal(t, "allocations", testing.AllocsPerRun(100, func() { mapper.Route(packet, start) }), 0.0)
 	})
 }
+
+// departingLoad replays the new flows of an instance, 20 a second, all of which leave for
+// the 30 backend servers of data centre two. These answer until died, and from back on.
+type departingLoad struct {
+	died, back time.Duration
+}
+
+// run returns how many opening packets of new flows went to data centre two in each second.
+func (l departingLoad) run(d time.Duration) []int {
+	var servers []zf.ServerView
+	for n := range uint64(30) {
+		servers = append(servers, row(1+n, "orders", "one"), row(101+n, "orders", "two"))
+	}
+	v := departingView(1, servers...)
+	mapper := newMapper(v)
+	const pause = 50 * time.Millisecond
+	later := make(map[time.Duration][]zf.Packet)
+	left := make([]int, d/time.Second)
+	for at := time.Duration(0); at < d; at += pause {
+		now := start.Add(at)
+		mapper.Tick(now, v)
+		for _, packet := range append(later[at], opening(int(at/pause), 0)) {
+			verdict := mapper.Route(packet, now)
+			if packet.Kind != zf.PacketOpening {
+				continue
+			}
+			if away := verdict.Number > 100; away && at >= l.died && at < l.back {
+				later[at+200*time.Millisecond] = append(later[at+200*time.Millisecond], opening(int(packet.Flow.Source.Port()), packet.Retransmissions+1))
+			} else {
+				later[at+pause] = append(later[at+pause], data(int(packet.Flow.Source.Port()), verdict.Cookie, 1))
+			}
+			if verdict.Number > 100 && packet.Retransmissions == 0 {
+				left[at/time.Second]++
+			}
+		}
+	}
+	return left
+}
+
+func TestDepartureToSilentCentre(t *testing.T) {
+	load := departingLoad{
+		died: 2 * time.Second,
+		back: 8 * time.Second,
+	}
+	left := load.run(12 * time.Second)
+	t.Run("all leave while it answers", func(t *testing.T) { zfassert.Equal(t, "new flows", left[1], 20) })
+	t.Run("those of 0.4 s leave once it is silent", func(t *testing.T) { zfassert.AtMost(t, "new flows", float64(left[2]), 8) })
+	t.Run("then one a second", func(t *testing.T) {
+		for _, n := range left[3:8] {
+			zfassert.AtMost(t, "new flows", float64(n), 1)
+		}
+	})
+	t.Run("all leave again within 2 s after it is back", func(t *testing.T) { zfassert.Equal(t, "new flows", left[10], 20) })
+}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -271,7 +271,7 @@
 	}
 	for _, departure := range view.Departures {
 		if p := pools[departure.Service]; p != nil {
-			p.setDeparture(departure)
+			m.setDeparture(p, departure)
 		}
 	}
 	for _, r := range view.Routes {
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -162,6 +162,7 @@
 	}
 	s.lastMiss.Store(now.UnixNano())
 	s.nextProbe.Store(now.Add(probeInterval).UnixNano())
+	s.centre.recordMiss(now)
 }
 
 // expireMisses discards the misses if the last one is older than missLifetime.
