Leave for no cold backend servers

Cause: the rate of a cold backend server is divided over all entry instances, and each may send its first new flow at once. Entry instances of other data centres used to reach cold ones only where nothing else was usable; with departures, whole data centres may send their first flows in the same second. Change: cold backend servers are left out of departures. Those of the tiers stay as before.

--- a/core/zfcookie/departure.go
+++ b/core/zfcookie/departure.go
@@ -24,7 +24,8 @@
 const departureMix = 0x9e3779b97f4a7c15
 
 // setDeparture sets the shares of new flows that leave. Data centres without usable backend
-// servers get none.
+// servers get none. Nor do cold ones: the entry instances of all data centres together would
+// exceed their rate, as each may send its first new flow at once.
 func (m *Mapper) setDeparture(p *pool, view zf.Departure) {
 	sum := 0.0
 	for _, to := range view.To {
@@ -32,7 +33,7 @@
 		p.departures = append(p.departures, departure{
 			below: uint64(math.Round(sum * departureRange)),
 			servers: slices.DeleteFunc(slices.Clone(p.tiers[tierRemote]), func(s *server) bool {
-				return s.Centre != to.Centre
+				return s.Centre != to.Centre || s.OpeningRate > 0
 			}),
 			centre: m.centreOf(to.Centre),
 		})
--- a/core/zfcookie/departure_test.go
+++ b/core/zfcookie/departure_test.go
@@ -74,11 +74,23 @@
 		draining.State, draining.Weight = zf.ServerDraining, 0
 		assertShare(t, newMapper(departingView(1, home, out, suspect, draining, other)), 1, 1, 1)
 	})
-	t.Run("the rate of a cold backend server limits those that leave", func(t *testing.T) {
+	t.Run("nobody leaves for a cold backend server", func(t *testing.T) {
 		cold := row(2, "orders", "two")
 		cold.State, cold.OpeningRate = zf.ServerCold, 1
-		got := openFlows(newMapper(departingView(1, home, cold)), 100, start)
-		zfassert.Equal(t, "new flows of the cold one", got[2], 1)
+		assertShare(t, newMapper(departingView(1, home, cold)), 2, 0, 0)
+	})
+	t.Run("the entry instances of pressed data centres don't exceed the limit of a cold one", func(t *testing.T) {
+		const instances, coldRate = 60, 2.0
+		servers := []zf.ServerView{home, row(2, "orders", "two")}
+		for n := range uint64(8) {
+			servers = append(servers, row(3+n, "orders", "two"))
+		}
+		servers[1].State, servers[1].OpeningRate = zf.ServerCold, coldRate/instances
+		sum := 0
+		for range instances {
+			sum += openFlows(newMapper(departingView(0.3, servers...)), 20, start)[2]
+		}
+		zfassert.AtMost(t, "new flows at once", float64(sum), coldRate)
 	})
 	t.Run("open flows never move", func(t *testing.T) {
 		mapper := newMapper(view(home, away))
