Ignore shares that are no numbers

Change: only shares above 0 count. Result: the new subtest of TestDeparture failed before and passes.

--- a/core/zfcookie/departure.go
+++ b/core/zfcookie/departure.go
@@ -29,7 +29,9 @@
 func (m *Mapper) setDeparture(p *pool, view zf.Departure) {
 	sum := 0.0
 	for _, to := range view.To {
-		sum = min(sum+max(to.Share, 0), 1)
+		if to.Share > 0 { // It may not be a number.
+			sum = min(sum+to.Share, 1)
+		}
 		p.departures = append(p.departures, departure{
 			below: uint64(math.Round(sum * departureRange)),
 			servers: slices.DeleteFunc(slices.Clone(p.tiers[tierRemote]), func(s *server) bool {
--- a/core/zfcookie/departure_test.go
+++ b/core/zfcookie/departure_test.go
@@ -1,6 +1,7 @@
 package zfcookie_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -92,6 +93,17 @@
 		}
 		zfassert.AtMost(t, "new flows at once", float64(sum), coldRate)
 	})
+	t.Run("shares that are no numbers count as none", func(t *testing.T) {
+		for _, share := range []float64{math.NaN(), math.Inf(-1), -1} {
+			assertShare(t, newMapper(departingView(share, home, away)), 1, 1, 1)
+			v := departingView(share, home, away, other)
+			v.Departures[0].To = append(v.Departures[0].To, zf.CentreShare{
+				Centre: "three",
+				Share:  0.3,
+			})
+			assertShare(t, newMapper(v), 3, 0.26, 0.34)
+		}
+	})
 	t.Run("open flows never move", func(t *testing.T) {
 		mapper := newMapper(view(home, away))
 		verdict := mapper.Route(opening(1, 0), start)
