Bound the figures of other control instances

Cause: demands, waits, sizes and numbers of backend servers were taken as received. A wait or a size near the largest value overflowed with the delay or the price and made a destination the cheapest of all; so did tiny rooms where conversions overflow downwards. With long waits the fill was lost in the difference of two large numbers and became 0 instead of 1. Change: figures are bounded when they are recorded, also those of followed decisions and round trips; the fill is computed without a difference. Result: TestUnusableFigures failed before (flows left for the longest wait and the largest answers) and passes.

--- a/core/zfdeparture/decide.go
+++ b/core/zfdeparture/decide.go
@@ -143,12 +143,12 @@
 	for _, d := range t.decider.departures {
 		s := t.service(d.Service)
 		s.leaving = true
-		s.wait = d.Home
-		s.away = d.Away
+		s.wait = boundedWait(d.Home)
+		s.away = boundedWait(d.Away)
 		for _, to := range d.To {
 			t.centre(to.Centre)
 			r, _ := t.row(d.Service, to.Centre)
-			r.share = min(nonNegative(to.Share), 1)
+			r.share = min(boundedRate(to.Share), 1)
 		}
 	}
 }
--- a/core/zfdeparture/destination.go
+++ b/core/zfdeparture/destination.go
@@ -52,7 +52,7 @@
 			d.maxRise = d.free / (decisions * float64(max(len(t.centres)-1, 1)))
 			d.claim = t.claim(name, centreName, d.free, out, now)
 			d.wait = max(r.room.Wait, expectedWait(spacing(r.room), lentFill)) + t.delay(centreName)
-			d.cost = d.wait + minGain + time.Duration(float64(t.config.Kilobyte)*float64(max(r.room.Bytes, 0))/1024)
+			d.cost = d.wait + minGain + time.Duration(float64(t.config.Kilobyte)*float64(r.room.Bytes)/1024)
 		}
 		destinations = append(destinations, d)
 	}
--- a/core/zfdeparture/table.go
+++ b/core/zfdeparture/table.go
@@ -162,17 +162,17 @@
 	}
 	c.reported = c.reported[:0]
 	for _, figure := range figures {
+		figure = bounded(figure)
 		t.centre(figure.Centre)
 		r, k := t.row(figure.Service, figure.Centre)
 		c.reported = append(c.reported, k)
 		if figure.Centre != from {
-			r.demand[from] = nonNegative(figure.Demand)
+			r.demand[from] = figure.Demand
 			continue
 		}
 		r.room = figure
 		r.measuredAt = now.Add(-max(figure.Age, 0))
-		r.room.Room = nonNegative(figure.Room)
-		r.demand[from] = nonNegative(figure.Own)
+		r.demand[from] = figure.Own
 		if from == t.config.Self {
 			r.room.Demand = t.totalDemand(figure.Service, from, now)
 		}
@@ -187,14 +187,37 @@
 	}
 }
 
-// nonNegative returns x, or 0 if it is negative or not a number.
-func nonNegative(x float64) float64 {
-	if x > 0 && !math.IsInf(x, 1) {
-		return x
+// Bounds of figures from other instances. Those beyond them are faulty; within them no sum
+// and no duration overflows.
+const (
+	minRate    = 1.0 / 1024
+	maxRate    = 1e9
+	maxServers = 1_000_000
+	maxWait    = time.Hour
+	maxBytes   = 1 << 30
+)
+
+// bounded returns a room within the bounds.
+func bounded(room zf.ServiceRoom) zf.ServiceRoom {
+	room.Servers = min(max(room.Servers, 0), maxServers)
+	room.Room = boundedRate(room.Room)
+	room.Demand = boundedRate(room.Demand)
+	room.Own = boundedRate(room.Own)
+	room.Wait = boundedWait(room.Wait)
+	room.Bytes = min(max(room.Bytes, 0), maxBytes)
+	return room
+}
+
+// boundedRate returns a rate, or 0 if it is beyond the bounds or not a number.
+func boundedRate(rate float64) float64 {
+	if rate >= minRate && rate <= maxRate {
+		return rate
 	}
 	return 0
 }
 
+func boundedWait(wait time.Duration) time.Duration { return min(max(wait, 0), maxWait) }
+
 // delayRise is the part of a longer round trip by which the known one rises. Single
 // round trips include waits for processors and retransmissions.
 const delayRise = 1.0 / 64
@@ -204,6 +227,7 @@
 	if to == t.config.Self || to == "" || roundTrip <= 0 {
 		return
 	}
+	roundTrip = boundedWait(roundTrip)
 	c := t.centre(to)
 	switch {
 	case c.delay == 0 || roundTrip < c.delay:
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -371,3 +371,77 @@
 		zfassert.True(t, "flows leave", before > 0.25)
 	})
 }
+
+// TestUnusableFigures checks figures that only a faulty control instance sends.
+func TestUnusableFigures(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		figure zf.ServiceRoom
+	}{
+		{
+			name: "no numbers",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.NaN(),
+				Own:     math.NaN(),
+				Demand:  math.NaN(),
+			},
+		},
+		{
+			name: "infinite",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.Inf(1),
+				Own:     math.Inf(-1),
+				Demand:  math.Inf(1),
+			},
+		},
+		{
+			name: "negative number of backend servers",
+			figure: zf.ServiceRoom{
+				Servers: -100,
+				Room:    1000,
+			},
+		},
+		{
+			name: "longest wait",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    1000,
+				Wait:    math.MaxInt64,
+			},
+		},
+		{
+			name: "largest answers",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    1000,
+				Bytes:   math.MaxInt,
+			},
+		},
+		{
+			name: "largest room",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.MaxFloat64,
+			},
+		},
+		{
+			name: "least room",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.SmallestNonzeroFloat64,
+			},
+		},
+	} {
+		t.Run("nobody leaves for "+c.name, func(t *testing.T) {
+			x := newExchange(price, 0.97)
+			x.run(settle, nil)
+			c.figure.Service, c.figure.Centre = orders, "c1"
+			x.run(settle, func() {
+				x.sites[0].table.Record("c1", []zf.ServiceRoom{c.figure}, x.now)
+				assertNobodyLeaves(t, x)
+			})
+		})
+	}
+}
--- a/core/zfdeparture/wait.go
+++ b/core/zfdeparture/wait.go
@@ -24,13 +24,12 @@
 	return time.Duration(float64(spacing) * fill * fill / (1 - fill))
 }
 
-// fillOf returns the fill, below 1, at which a wait is expected.
+// fillOf returns the fill, 1 at most, at which a wait is expected.
 func fillOf(spacing, wait time.Duration) float64 {
 	if spacing <= 0 || wait <= 0 {
 		return 0
 	}
-	w := float64(wait) / float64(spacing)
-	return (math.Sqrt(w*w+4*w) - w) / 2
+	return 2 / (1 + math.Sqrt(1+4*float64(spacing)/float64(wait)))
 }
 
 // evidentFill is the fill from which a wait is compared with the room.
