Forget data centres that neither report nor get flows

Cause: data centres were kept for good, also those named once in a message or removed from the platform. As such a one is silent, shares grew four times more slowly ever after. Change: data centres without rows that have not reported for an hour are removed; rows for no demand are not added. A trial that removed them after a minute overloaded a third data centre (1.2 of its room), as two that had been cut off from each other no longer counted each other. Result: TestForgottenCentre failed before (a share of 0.10 instead of 0.30 after 5 s) and passes. TestTwoPressThird has a further case, of a cut of 2 minutes, which failed in that trial and passes.

--- a/core/zfdeparture/table.go
+++ b/core/zfdeparture/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -35,6 +36,9 @@
 	figureTimeout = 3 * time.Second
 	// rowTimeout is how long a row without figures is kept.
 	rowTimeout = time.Minute
+	// centreTimeout is how long a data centre without rows is kept. While it is cut off from
+	// here, it may still send flows where the own data centre does.
+	centreTimeout = time.Hour
 )
 
 // key identifies a row.
@@ -58,6 +62,8 @@
 type centre struct {
 	// measuredAt is when the latest of its figures were measured.
 	measuredAt time.Time
+	// reportedAt is when it last reported any, or zero.
+	reportedAt time.Time
 	// reported are the rows that they belong to.
 	reported []key
 	// delay is the round trip to it, or 0 if that is not known.
@@ -155,6 +161,7 @@
 		return
 	}
 	c.measuredAt = measuredAt
+	c.reportedAt = now
 	for _, k := range c.reported {
 		if r := t.rows[k]; r != nil {
 			r.forget(k, from)
@@ -163,6 +170,9 @@
 	c.reported = c.reported[:0]
 	for _, figure := range figures {
 		figure = bounded(figure)
+		if figure.Centre != from && figure.Demand == 0 {
+			continue
+		}
 		t.centre(figure.Centre)
 		r, k := t.row(figure.Service, figure.Centre)
 		c.reported = append(c.reported, k)
@@ -380,7 +390,8 @@
 	return figure
 }
 
-// expire removes the rows without recent figures and without flows.
+// expire removes the rows without recent figures and without flows, and the data centres
+// without rows that have not reported for long.
 func (t *Table) expire(now time.Time) {
 	for name, c := range t.centres {
 		if now.Sub(c.measuredAt) < rowTimeout || c.measuredAt.IsZero() {
@@ -394,9 +405,13 @@
 		}
 		c.reported = nil
 	}
+	used := make(map[zf.CentreName]bool, len(t.centres))
 	for k, r := range t.rows {
 		if r.room.Service == "" && len(r.demand) == 0 && r.share == 0 {
 			delete(t.rows, k)
+			continue
 		}
+		used[k.centre] = true
 	}
+	maps.DeleteFunc(t.centres, func(name zf.CentreName, c *centre) bool { return !used[name] && now.Sub(c.reportedAt) >= centreTimeout })
 }
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -112,22 +112,27 @@
 func TestTwoPressThird(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		cut  bool
+		// cut is how long they have not reached each other.
+		cut time.Duration
 	}{
 		{
 			name: "two data centres at 1.5 times their room don't overload a third",
 		},
 		{
 			name: "also while they can't reach each other",
-			cut:  true,
+			cut:  settle,
+		},
+		{
+			name: "also once they have forgotten each other's figures",
+			cut:  2 * time.Minute,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := newExchange(price, 0.6, 0.6, 0.3)
 			x.run(settle, nil)
-			if c.cut {
+			if c.cut > 0 {
 				x.separate(0, 1)
-				x.run(settle, nil)
+				x.run(c.cut, nil)
 			}
 			x.sites[0].demand, x.sites[1].demand = 1500, 1500
 			assertBears(t, x, 2, settle, 1)
@@ -445,3 +450,19 @@
 		})
 	}
 }
+
+func TestForgottenCentre(t *testing.T) {
+	t.Run("the others leave for each other as fast as before", func(t *testing.T) {
+		shares := make([]float64, 0, 2)
+		for _, centres := range [][]float64{{0.6, 0.3}, {0.6, 0.3, 0.3}} {
+			x := newExchange(price, centres...)
+			x.run(settle, nil)
+			x.sites = x.sites[:2]
+			x.run(61*time.Minute, nil)
+			x.sites[0].demand = 1500
+			x.run(5*time.Second, nil)
+			shares = append(shares, x.sites[0].leaving())
+		}
+		zfassert.Equal(t, "share", shares[1], shares[0])
+	})
+}
