Drop the shares of before a long suspension

Cause: a control instance that went on after a suspension of any length told its entry instances the shares of before for 3 s, though these had ceased to apply them; a follower could adopt them before the first decision. Change: shares are dropped after 5 s without a decision, and such an instance doesn't claim to decide. Result: TestLongSuspension failed before and passes.

--- a/core/zfdeparture/decide.go
+++ b/core/zfdeparture/decide.go
@@ -16,6 +16,9 @@
 	// maxDecisionGap is the time between two decisions from which this instance is
 	// considered to have been suspended: its sums lack what was not reported meanwhile.
 	maxDecisionGap = 2 * time.Second
+	// maxShareGap is the time between two decisions from which the shares are dropped:
+	// entry instances have long ceased to apply them.
+	maxShareGap = 5 * time.Second
 	// deciderTimeout is the silence after which the decisions of another control instance
 	// of the own data centre no longer count.
 	deciderTimeout = 1500 * time.Millisecond
@@ -87,9 +90,12 @@
 	if now.Sub(t.lastDecision) < decisionInterval {
 		return
 	}
-	if now.Sub(t.lastDecision) >= maxDecisionGap {
+	if t.suspended(now) {
 		t.startedAt = now
 	}
+	if now.Sub(t.lastDecision) >= maxShareGap {
+		t.dropShares()
+	}
 	t.lastDecision = now
 	t.Record(t.config.Self, figures, now)
 	t.expire(now)
@@ -111,6 +117,9 @@
 	t.recordChanges(now)
 }
 
+// suspended reports whether this instance has just gone on after a suspension.
+func (t *Table) suspended(now time.Time) bool { return now.Sub(t.lastDecision) >= maxDecisionGap }
+
 // Follow records the decisions of another control instance of the own data centre.
 func (t *Table) Follow(source uint64, departures []zf.Departure, now time.Time) {
 	if source > t.config.Source && t.complete(now) {
@@ -129,17 +138,21 @@
 
 // Decides reports whether this control instance's decisions are its own and complete.
 func (t *Table) Decides(now time.Time) bool {
-	return t.config.Leave && t.complete(now) && !t.follows(now)
+	return t.config.Leave && t.complete(now) && !t.suspended(now) && !t.follows(now)
 }
 
-// adopt takes the shares of the control instance that decides.
-func (t *Table) adopt() {
+func (t *Table) dropShares() {
 	for _, r := range t.rows {
 		r.share = 0
 	}
 	for _, s := range t.services {
 		s.leaving = false
 	}
+}
+
+// adopt takes the shares of the control instance that decides.
+func (t *Table) adopt() {
+	t.dropShares()
 	for _, d := range t.decider.departures {
 		s := t.service(d.Service)
 		s.leaving = true
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -466,3 +466,18 @@
 		zfassert.Equal(t, "share", shares[1], shares[0])
 	})
 }
+
+// TestLongSuspension checks that shares of before a suspension of a minute don't come back
+// into force.
+func TestLongSuspension(t *testing.T) {
+	x := newExchange(price, 1.5, 0.3)
+	x.run(settle, nil)
+	home := x.sites[0]
+	assertLeaving(t, home, 0.25, 0.5)
+	x.now = x.now.Add(time.Minute)
+	zfassert.True(t, "it decides nothing", !home.table.Decides(x.now))
+	home.demand = 500
+	x.run(3*time.Second, func() {
+		zfassert.Equal(t, "departures", len(home.table.Departures()), 0)
+	})
+}
