Update the gauges of departures after decisions only

Cause: with each batch of events all gauges of services whose flows had ever left were set to 0 and then to their shares; a reader could see 0 in between. Change: gauges and events follow the tick, in which decisions are made, and only gauges of services whose flows no longer leave become 0. Both searches by service share a function. Result: TestDepartureShares passes (it tests what was untested; it passes before as well).

--- a/core/zfdeparture/change.go
+++ b/core/zfdeparture/change.go
@@ -1,7 +1,6 @@
 package zfdeparture
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -42,10 +41,8 @@
 			Home:    s.wait,
 			Away:    s.away,
 		}
-		if i, found := slices.BinarySearchFunc(t.departures, name, func(d zf.Departure, name zf.ServiceName) int {
-			return cmp.Compare(d.Service, name)
-		}); found {
-			departure = t.departures[i]
+		if d, found := zf.FindDeparture(t.departures, name); found {
+			departure = d
 		}
 		share := departure.Share()
 		begins := share > 0 != (s.loggedShare > 0)
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -130,6 +130,7 @@
 		}
 		now := l.config.Clock.Now()
 		l.config.World.Tick(now)
+		l.logDepartures(now)
 		l.flush(now)
 	}
 }
@@ -164,7 +165,6 @@
 	l.feed.AnswerFetches(now)
 	l.logChanges()
 	l.logOutliers()
-	l.logDepartures()
 }
 
 // enqueue adds an event to the inbox and waits while the inbox is full. It returns
--- a/io/zfcontrollerloop/watch.go
+++ b/io/zfcontrollerloop/watch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"zinniafront/core/zfquorum"
 	"zinniafront/io/zfcluster"
@@ -68,8 +69,8 @@
 
 // logDepartures logs the changed decisions on new flows that leave this data centre, and
 // sets their metrics.
-func (l *Loop) logDepartures() {
-	departures, _ := l.config.World.Departures(l.config.Clock.Now())
+func (l *Loop) logDepartures(now time.Time) {
+	departures, _ := l.config.World.Departures(now)
 	l.config.Counters.SetDepartures(departures)
 	for _, change := range l.config.World.TakeDepartureChanges() {
 		centres := make([]string, 0, len(change.To))
--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -129,11 +129,13 @@
 	}
 }
 
-// SetDepartures sets the gauges of the shares of new flows that leave. It belongs to the
-// control goroutine.
+// SetDepartures sets the gauges of the shares of new flows that leave, by service. It belongs
+// to the control goroutine.
 func (s *Set) SetDepartures(departures []zf.Departure) {
-	for _, gauge := range s.departureShares {
-		gauge.Update(0)
+	for name, gauge := range s.departureShares {
+		if _, leaves := zf.FindDeparture(departures, name); !leaves {
+			gauge.Update(0)
+		}
 	}
 	for _, departure := range departures {
 		gauge := s.departureShares[departure.Service]
--- a/io/zfcounter/counter_test.go
+++ b/io/zfcounter/counter_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
+
 	zf "zinniafront"
 	"zinniafront/io/zfcounter"
 	"zinniafront/lab/zfassert"
@@ -37,3 +39,27 @@
 	zfassert.True(t, "registered", ok)
 	zfassert.Equal(t, "count", counter.Count(), int64(1))
 }
+
+func TestDepartureShares(t *testing.T) {
+	counters := zfcounter.New()
+	assertGauge := func(t testing.TB, service zf.ServiceName, want float64) {
+		t.Helper()
+		gauge, known := counters.Registry.Get("departure.share." + string(service)).(metrics.GaugeFloat64)
+		zfassert.True(t, "gauge is known", known)
+		zfassert.Equal(t, "share", gauge.Value(), want)
+	}
+	leaves := func(service zf.ServiceName) zf.Departure {
+		return zf.Departure{
+			Service: service,
+			To: []zf.CentreShare{{
+				Centre: "two",
+				Share:  0.25,
+			}},
+		}
+	}
+	counters.SetDepartures([]zf.Departure{leaves("orders"), leaves("proofs")})
+	t.Run("of two services", func(t *testing.T) { assertGauge(t, "proofs", 0.25) })
+	counters.SetDepartures([]zf.Departure{leaves("proofs")})
+	t.Run("one remains", func(t *testing.T) { assertGauge(t, "proofs", 0.25) })
+	t.Run("the other ends", func(t *testing.T) { assertGauge(t, "orders", 0) })
+}
--- a/value.go
+++ b/value.go
@@ -1,7 +1,9 @@
 package zinniafront
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -304,6 +306,17 @@
 	return sum
 }
 
+// FindDeparture returns the departure of a service from a list ordered by service.
+func FindDeparture(departures []Departure, service ServiceName) (departure Departure, found bool) {
+	i, found := slices.BinarySearchFunc(departures, service, func(d Departure, name ServiceName) int {
+		return cmp.Compare(d.Service, name)
+	})
+	if !found {
+		return Departure{}, false
+	}
+	return departures[i], true
+}
+
 // AdmissionLimit is the decision that some of a service's new flows are turned away, as
 // no data centre has room for them.
 type AdmissionLimit struct {
