--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -18,6 +18,7 @@
 	"zinniafront/io/zfdocument"
 	"zinniafront/io/zfevent"
 	"zinniafront/io/zfforwardloop"
+	"zinniafront/io/zfmeter"
 	"zinniafront/io/zftraffic"
 	"zinniafront/platform"
 )
@@ -63,9 +64,10 @@
 	)
 }
 
-func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, logger *zfevent.Logger) *zfforwardloop.Loop {
+func newForwardLoop(settings *zfdocument.Settings, reader bundleReader, source source, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger) *zfforwardloop.Loop {
 	mapper := zfcookie.New(zfcookie.Config{
-		Seed: flowSeed,
+		Seed:     flowSeed,
+		Openings: settings.Load.Placement == zfdocument.PlacementWait,
 	})
 	world := zfforward.New(zfforward.Config{
 		Self:     settings.Name,
@@ -76,16 +78,32 @@
 		Leaving:  settings.Load.Leaving,
 	})
 	return zfforwardloop.New(zfforwardloop.Config{
-		World:  world,
-		Source: uint64(source),
-		Decode: reader.decode,
-		Clock:  f.Clock,
-		Logger: logger,
+		World:    world,
+		Source:   uint64(source),
+		Decode:   reader.decode,
+		Clock:    f.Clock,
+		Logger:   logger,
+		Meter:    newMeter(settings, counters),
+		Counters: counters,
+	})
+}
+
+// newMeter returns the meter of the resources in the settings, or nil if there are none.
+func newMeter(settings *zfdocument.Settings, counters *zfcounter.Set) zf.Meter {
+	if settings.Resources == (zfdocument.Resources{}) {
+		return nil
+	}
+	return zfmeter.New(zfmeter.Config{
+		Limits:        settings.Resources,
+		Link:          counters.Link,
+		ProcessorTime: zfmeter.ProcessorTime,
+		Memory:        zfmeter.Memory,
 	})
 }
 
 func newForwardTraffic(settings *zfdocument.Settings, loop *zfforwardloop.Loop, f *zfcmd.Factory, counters *zfcounter.Set, logger *zfevent.Logger) (*zftraffic.Sockets, error) {
 	decisionLog := zftraffic.NewDecisionLog(logger, loop.StateAge)
+	loop.OnStrainChanged(decisionLog.SetStrain)
 	return zftraffic.Listen(zftraffic.Config{
 		Traffic:    settings.Listen.Traffic,
 		Threads:    settings.Threads,
@@ -94,6 +112,7 @@
 		Held:       zfhold.New(),
 		Clock:      f.Clock,
 		Counters:   counters,
+		Admit:      loop.Admit,
 		OnDecision: decisionLog.Log,
 	})
 }
@@ -136,11 +155,13 @@
 	subscriber := zfcluster.NewSubscriber(zfcluster.SubscriberConfig{
 		Instance:   p.Settings.Name,
 		Centre:     p.Settings.Centre,
+		Size:       p.Settings.Resources.Processor,
 		Address:    p.Settings.Listen.Advertise,
 		Seeds:      zfcluster.PeerAddresses(p.Settings.Platform.Seeds, p.Settings.Listen.Advertise),
 		Clock:      p.Factory.Clock,
 		Logger:     p.Logger,
 		FetchTime:  p.Counters.FetchTime,
+		Link:       p.Counters.Link,
 		FetchState: p.Loop.FetchState,
 		ApplyReply: p.Loop.ApplyReply,
 	})
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -41,6 +41,9 @@
 	// StopPermitted reports whether an entry instance that was asked to stop has a stop
 	// permit, and grants one if that is possible now.
 	StopPermitted(instance zf.InstanceName, now time.Time) bool
+	// StepOutPermitted reports whether an overloaded entry instance has a permit to leave
+	// the rotation, and grants or renews one if that is possible now.
+	StepOutPermitted(instance zf.InstanceName, centre zf.CentreName, now time.Time) bool
 	// MayEnter reports whether an entry instance that is able to take traffic may enter
 	// the rotation.
 	MayEnter(instance zf.InstanceName, centre zf.CentreName) bool
@@ -98,6 +101,8 @@
 type subscriberRow struct {
 	centre    zf.CentreName
 	lastFetch time.Time
+	// size is the instance's share of a core, or 0 if it is not known or overloaded.
+	size float64
 }
 
 // FeedConfig holds what a feed is built from.
@@ -210,10 +215,14 @@
 		args.Cursor = 0
 	}
 	if args.Address.IsValid() && !args.Control {
-		f.subscribers[args.Address] = subscriberRow{
+		row := subscriberRow{
 			centre:    args.Centre,
 			lastFetch: now,
 		}
+		if args.Strain != zf.StrainOverloaded {
+			row.size = args.Size
+		}
+		f.subscribers[args.Address] = row
 	}
 	args.Rows = nil
 	args.Outcomes = nil
@@ -242,7 +251,7 @@
 		}
 		changed := latest > p.args.Cursor && !now.Before(p.notBefore)
 		due := !f.Recognizes(p.args) || p.args.More || changed || !p.args.Control && index > p.args.Index ||
-			f.stopPermitted(p.args, now) || p.args.Able && !p.args.Ready && !f.mustWait(p.args)
+			f.stopPermitted(p.args, now) || p.args.Ready && f.stepOutPermitted(p.args, now) || p.args.Able && !p.args.Ready && !f.mustWait(p.args)
 		if !due && now.Before(p.deadline) {
 			return false
 		}
@@ -268,6 +277,7 @@
 		Near:     f.isLocalControl(args),
 		Entries:  f.entryCount(!args.Control, now),
 		Turn:     f.stopPermitted(args, now),
+		StepOut:  f.stepOutPermitted(args, now),
 		Wait:     f.mustWait(args),
 	}
 	if args.Control {
@@ -315,8 +325,14 @@
 	return args.Stopping && f.config.Data.StopPermitted(args.Instance, now)
 }
 
+// stepOutPermitted reports whether a fetch is from an instance that requests a permit to
+// leave the rotation and holds it.
+func (f *Feed) stepOutPermitted(args FetchArgs, now time.Time) bool {
+	return args.StepOut && f.config.Data.StepOutPermitted(args.Instance, args.Centre, now)
+}
+
 // peers removes expired subscribers and returns a few others than the sender, those in
-// its data centre first. A control instance of the same data centre gets all
+// its data centre first, the largest ones of these before smaller ones. A control instance of the same data centre gets all
 // subscribers of this feed.
 func (f *Feed) peers(args FetchArgs, now time.Time) []netip.AddrPort {
 	if !f.config.SharePeers {
@@ -344,7 +360,25 @@
 		isSender := func(address netip.AddrPort) bool { return address == args.Address }
 		others = slices.DeleteFunc(others, isSender)
 	}
-	return append(ringAfter(sameCentre, args.Address, maxCentrePeers), ringAfter(others, args.Address, maxOtherPeers)...)
+	return append(f.largestAfter(sameCentre, args.Address), ringAfter(others, args.Address, maxOtherPeers)...)
+}
+
+// largestAfter returns up to maxCentrePeers subscribers, larger ones first and those of the
+// same size as ringAfter does. Where sizes differ, small instances are not asked while
+// larger ones answer.
+func (f *Feed) largestAfter(addresses []netip.AddrPort, address netip.AddrPort) []netip.AddrPort {
+	bySize := make(map[float64][]netip.AddrPort)
+	for _, a := range addresses {
+		size := f.subscribers[a].size
+		bySize[size] = append(bySize[size], a)
+	}
+	sizes := slices.Sorted(maps.Keys(bySize))
+	slices.Reverse(sizes)
+	var largest []netip.AddrPort
+	for _, size := range sizes {
+		largest = append(largest, ringAfter(bySize[size], address, maxCentrePeers-len(largest))...)
+	}
+	return largest
 }
 
 // ringAfter returns up to limit addresses that follow one in sorted order, with
--- a/io/zfcluster/subscriber.go
+++ b/io/zfcluster/subscriber.go
@@ -12,6 +12,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 )
 
@@ -44,6 +45,8 @@
 type SubscriberConfig struct {
 	Instance zf.InstanceName
 	Centre   zf.CentreName
+	// Size is this instance's share of a core, or 0 if it is not known.
+	Size float64
 	// Address is where this instance answers fetches.
 	Address netip.AddrPort
 	// Seeds are possible addresses of control instances.
@@ -52,6 +55,8 @@
 	Logger *zfevent.Logger
 	// FetchTime records the duration of each fetch.
 	FetchTime metrics.Timer
+	// Link counts the bytes of fetches; its counters may be nil.
+	Link zfcounter.ByteCounters
 	// FetchState returns the state to report with a fetch. withDigests is set until the
 	// other instance's whole table has been received once, which may take several
 	// pages.
@@ -78,6 +83,10 @@
 	Stopping bool
 	// Able is set if this instance could take traffic.
 	Able bool
+	// Strain is how far this instance's resources suffice. StepOut is set if it requests a
+	// permit to leave the rotation, or its renewal.
+	Strain  zf.Strain
+	StepOut bool
 }
 
 // Subscriber fetches changes from one control instance, and switches to another when
@@ -200,6 +209,7 @@
 // disconnect.
 func (s *Subscriber) startSession(address netip.AddrPort, peer bool) {
 	s.client = NewClient(address, s.config.Clock)
+	s.client.link = s.config.Link
 	s.progress = Progress{}
 	s.rowsToSend = nil
 	s.receivedIndex = 0
@@ -260,6 +270,9 @@
 		Ready:    state.Ready,
 		Stopping: state.Stopping,
 		Able:     state.Able,
+		Strain:   state.Strain,
+		StepOut:  state.StepOut,
+		Size:     s.config.Size,
 		Hold:     hold,
 	}
 	s.progress.Request(&args)
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -15,6 +15,7 @@
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
 	"zinniafront/io/zfcluster"
+	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 )
 
@@ -35,6 +36,10 @@
 	Source uint64
 	Clock  zf.Clock
 	Logger *zfevent.Logger
+	// Meter measures the use of resources; it is nil if the settings state none.
+	Meter zf.Meter
+	// Counters count the changes of verdicts and hold the gauges of resources.
+	Counters *zfcounter.Set
 }
 
 // Loop is the control goroutine of an entry instance.
@@ -51,8 +56,11 @@
 	flowsEndedHandler func(ended []zf.EndedFlow)
 	// routableHandler is called once the mapper can route packets.
 	routableHandler func()
-	feed            *zfcluster.Feed
-	quorum          quorumStatus
+	// strainHandler receives each change of the strain.
+	strainHandler func(strain zf.Strain)
+	resources     resourceState
+	feed          *zfcluster.Feed
+	quorum        quorumStatus
 	// ready and index are copies of the world's fields for other goroutines.
 	ready atomic.Bool
 	index atomic.Uint64
@@ -123,12 +131,15 @@
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.done)
 	for {
+		due := l.config.Clock.Now().Add(tickInterval)
 		tick, release := l.config.Clock.After(tickInterval)
 		if !l.applyUntil(ctx, tick) {
 			release()
 			return
 		}
-		l.config.World.Tick(l.config.Clock.Now())
+		now := l.config.Clock.Now()
+		l.measure(now.Sub(due), now)
+		l.config.World.Tick(now)
 		l.flush()
 	}
 }
@@ -229,6 +240,8 @@
 		state.Ready = l.config.World.Ready()
 		state.Able = l.config.World.Able()
 		state.Stopping = l.config.World.StopPending()
+		state.Strain = l.config.World.Strain()
+		state.StepOut = l.config.World.StepOutRequested()
 		state.Outcomes = l.config.World.Outcomes()
 		state.Loads = l.config.World.Loads(now)
 		if withDigests {
@@ -321,6 +334,7 @@
 		l.ready.Store(ready)
 		l.config.Logger.Entry(zfevent.ReadyChanged).Bool("ready", ready).Bool("isolated", world.Isolated()).Msg("")
 	}
+	l.publishStrain()
 	if waiting := world.WaitsToEnter(); waiting != l.loggedWaiting {
 		l.loggedWaiting = waiting
 		l.config.Logger.Entry(zfevent.EntryWaits).Bool("waits", waiting).Msg("")
@@ -333,6 +347,7 @@
 		l.loggedCentres = centres
 		l.config.Logger.Entry(zfevent.CentresUnresponsive).Strs("centres", centreNames(centres)).Msg("")
 	}
+	l.logOpenings(world.OpeningVerdicts())
 	if world.Registry().ContentRevision() == l.loggedContentRevision {
 		return
 	}
@@ -354,6 +369,20 @@
 	}
 }
 
+// logOpenings logs and counts what has changed of what was inferred from opening packets.
+// The world bounds the number of changes a tick.
+func (l *Loop) logOpenings(changes []zf.OpeningVerdict) {
+	for _, change := range changes {
+		counter := l.config.Counters.OpeningServer
+		if change.Server == "" {
+			counter = l.config.Counters.OpeningCentre
+		}
+		counter.Inc(1)
+		l.config.Logger.Entry(zfevent.OpeningsInferred).Str("server", string(change.Server)).Str("centre", string(change.Centre)).Float64("share", change.Share).
+			Int("callers", change.Callers).Int("servers", change.Servers).Dur("age", change.Age).Int("sample", change.Sample).Dur("timeout", change.Timeout).Msg("")
+	}
+}
+
 func centreNames(centres []zf.CentreName) []string {
 	names := make([]string, len(centres))
 	for i, centre := range centres {
