--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	zf "zinniafront"
+	"zinniafront/core/zfadmission"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfcontrol"
 	"zinniafront/core/zfdeparture"
@@ -37,6 +38,8 @@
 	Departure *zfdeparture.Config
 	// Decode returns the bundle of a document as stored in the control state.
 	Decode func(document []byte) (*zfbundle.Bundle, error)
+	// Admission is set if new flows are turned away that can't be served in time.
+	Admission bool
 }
 
 const (
@@ -119,6 +122,8 @@
 	// services are those of the bundle with servicesVersion.
 	services        map[zf.ServiceName]bool
 	servicesVersion uint64
+	admission       *zfadmission.Table
+	routes          routesInForce
 }
 
 // New returns a world.
@@ -131,6 +136,7 @@
 		loads:       zfload.New(),
 		stopPermits: zfpermit.New(),
 		rotation:    zfrotation.New(),
+		admission:   zfadmission.New(config.Quorum.Self.Centre),
 
 		peerContact: make(map[netip.AddrPort]time.Time),
 	}
@@ -194,6 +200,7 @@
 	w.rotation.Tick(now)
 	w.detectOutliers(now)
 	w.decideDepartures(now)
+	w.limitAdmission(now)
 	w.advanceOperations(now)
 }
 
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -24,6 +24,9 @@
 	// Openings is set if backend servers and data centres that don't open new flows are
 	// inferred from opening packets.
 	Openings bool
+	// Admission decides which new flows are turned away for lack of room, or is nil if
+	// none are.
+	Admission zf.Admission
 }
 
 // Mapper implements zinniafront.Mapper and zinniafront.Observer.
@@ -35,6 +38,8 @@
 	// not been taken; it belongs to the control goroutine.
 	openings *zfopening.Table
 	verdicts []zf.OpeningVerdict
+	// limited is set while limits for new flows are in force.
+	limited atomic.Bool
 	// stats holds the statistics of each backend server. The map belongs to the control
 	// goroutine.
 	stats map[zf.ServerIncarnation]*serverStats
@@ -124,6 +129,9 @@
 
 type route struct {
 	targets []target
+	// targetLatency and priority are those of the route's view.
+	targetLatency time.Duration
+	priority      int
 	// total is the sum of the weights of all targets.
 	total uint64
 }
@@ -136,6 +144,7 @@
 
 // pool holds the backend servers of a service that take new flows.
 type pool struct {
+	service zf.ServiceName
 	// tiers holds the backend servers in order of preference.
 	tiers [tierCount][]*server
 	// departures are the shares of new flows that go to other data centres first.
@@ -223,6 +232,7 @@
 		m.detectUnresponsiveCentres(now)
 		m.tickOpenings(now)
 	}
+	m.tickAdmission(now, view.Limits)
 	if view.RoutesKnown && (m.current.Load() == nil || view.Revision != m.revision) {
 		m.revision = view.Revision
 		m.publish(view, now)
@@ -273,7 +283,9 @@
 	}
 	for _, s := range next.cookies {
 		if pools[s.Service] == nil {
-			pools[s.Service] = &pool{}
+			pools[s.Service] = &pool{
+				service: s.Service,
+			}
 		}
 		pools[s.Service].add(s, view.Centre)
 	}
@@ -357,11 +369,16 @@
 }
 
 func newRoute(view zf.RouteView, pools map[zf.ServiceName]*pool) *route {
-	r := &route{}
+	r := &route{
+		targetLatency: view.Target,
+		priority:      view.Priority,
+	}
 	for _, t := range view.Targets {
 		p := pools[t.Service]
 		if p == nil {
-			p = &pool{}
+			p = &pool{
+				service: t.Service,
+			}
 		}
 		r.total += uint64(max(t.Weight, 0))
 		r.targets = append(r.targets, target{
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -38,6 +38,8 @@
 	Figures(now time.Time) []zf.ServiceRoom
 	// Departures returns the departures in force, and whether this instance made them.
 	Departures(now time.Time) (departures []zf.Departure, decides bool)
+	// Limits returns the limits for the new flows of this data centre's callers.
+	Limits() []zf.AdmissionLimit
 	// StopPermitted reports whether an entry instance that was asked to stop has a stop
 	// permit, and grants one if that is possible now.
 	StopPermitted(instance zf.InstanceName, now time.Time) bool
@@ -289,6 +291,9 @@
 		reply.Loads = f.config.Data.Loads(!args.Control, now)
 		reply.Departures, reply.Decides = f.config.Data.Departures(now)
 	}
+	if reply.Loads != nil && !args.Control {
+		reply.Limits = f.config.Data.Limits()
+	}
 	if !args.Control && published.Index > args.Index {
 		reply.Document = published.Document
 		reply.Out = published.Out
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -70,6 +70,13 @@
 	return s.stepOutPermitted
 }
 
+func (s *testFeedData) Limits() []zf.AdmissionLimit {
+	return []zf.AdmissionLimit{{
+		Service: "orders",
+		Share:   0.5,
+	}}
+}
+
 func (s *testFeedData) StopPermitted(zf.InstanceName, time.Time) bool { return s.stopPermitted }
 
 func (s *testFeedData) MayEnter(zf.InstanceName, zf.CentreName) bool { return !s.mustWait }
@@ -252,6 +259,8 @@
 		name string
 		args zfcluster.FetchArgs
 		want int
+		// limits is the number of limits for new flows.
+		limits int
 	}{
 		{
 			name: "a fetch that reports loads gets the total loads of the data centre",
@@ -259,7 +268,8 @@
 				Centre: "one",
 				Loads:  s.loads,
 			},
-			want: 2,
+			want:   2,
+			limits: 1,
 		},
 		{
 			name: "a fetch without loads gets none",
@@ -284,7 +294,9 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			zfassert.Equal(t, "loads", len(assertAnswered(t, feed, c.args).Loads), c.want)
+			reply := assertAnswered(t, feed, c.args)
+			zfassert.Equal(t, "loads", len(reply.Loads), c.want)
+			zfassert.Equal(t, "limits", len(reply.Limits), c.limits)
 		})
 	}
 }
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -131,6 +131,7 @@
 		now := l.config.Clock.Now()
 		l.config.World.Tick(now)
 		l.logDepartures(now)
+		l.reportAdmission()
 		l.flush(now)
 	}
 }
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -75,6 +75,7 @@
 	CommandUnconfirmed    = register(3019, "command to be confirmed", log.InfoLevel)
 	DepartureChanged      = register(3020, "share of new flows that leave changed", log.InfoLevel)
 	StepOutPermitChanged  = register(3022, "permit to leave the rotation", log.InfoLevel)
+	AdmissionChanged      = register(3021, "admission of new flows changed", log.WarnLevel)
 )
 
 // The events of an instance with the forward role, besides those of an entry instance.
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -11,6 +11,7 @@
 	"time"
 
 	zf "zinniafront"
+	"zinniafront/core/zfadmission"
 	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
@@ -38,6 +39,9 @@
 	Logger *zfevent.Logger
 	// Meter measures the use of resources; it is nil if the settings state none.
 	Meter zf.Meter
+	// Admission is the admission of the world's mapper, or nil if it has none. Its counts
+	// are published as Counters.
+	Admission *zfadmission.Callers
 	// Counters count the changes of verdicts and hold the gauges of resources.
 	Counters *zfcounter.Set
 }
@@ -140,6 +144,9 @@
 		now := l.config.Clock.Now()
 		l.measure(now.Sub(due), now)
 		l.config.World.Tick(now)
+		if l.config.Admission != nil {
+			l.config.Counters.SetAdmissions(l.config.Admission.Counts())
+		}
 		l.flush()
 	}
 }
