--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -132,15 +132,14 @@
 		return reset(zf.ReasonNoRoom)
 	}
 	attempt := m.beginOpening(packet, hash, now)
-	s := p.choose(openingPacket{
+	s := p.choose(p.depart(openingPacket{
 		hash:            hash,
-		away:            p.away(hash, previous),
 		retransmissions: packet.Retransmissions,
 		previous:        previous,
 		now:             now,
 		totalsKnown:     m.totalsKnown.Load(),
 		attempt:         &attempt,
-	})
+	}))
 	if s == nil {
 		return reset(zf.ReasonNoServer)
 	}
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -112,22 +112,27 @@
 func TestTwoPressThird(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		cut  bool
+		// cut is how long they have not reached each other.
+		cut time.Duration
 	}{
 		{
 			name: "two data centres at 1.5 times their room don't overload a third",
 		},
 		{
 			name: "also while they can't reach each other",
-			cut:  true,
+			cut:  settle,
+		},
+		{
+			name: "also once they have forgotten each other's figures",
+			cut:  2 * time.Minute,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x := newExchange(price, 0.6, 0.6, 0.3)
 			x.run(settle, nil)
-			if c.cut {
+			if c.cut > 0 {
 				x.separate(0, 1)
-				x.run(settle, nil)
+				x.run(c.cut, nil)
 			}
 			x.sites[0].demand, x.sites[1].demand = 1500, 1500
 			assertBears(t, x, 2, settle, 1)
@@ -371,3 +376,108 @@
 		zfassert.True(t, "flows leave", before > 0.25)
 	})
 }
+
+// TestUnusableFigures checks figures that only a faulty control instance sends.
+func TestUnusableFigures(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		figure zf.ServiceRoom
+	}{
+		{
+			name: "no numbers",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.NaN(),
+				Own:     math.NaN(),
+				Demand:  math.NaN(),
+			},
+		},
+		{
+			name: "infinite",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.Inf(1),
+				Own:     math.Inf(-1),
+				Demand:  math.Inf(1),
+			},
+		},
+		{
+			name: "negative number of backend servers",
+			figure: zf.ServiceRoom{
+				Servers: -100,
+				Room:    1000,
+			},
+		},
+		{
+			name: "longest wait",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    1000,
+				Wait:    math.MaxInt64,
+			},
+		},
+		{
+			name: "largest answers",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    1000,
+				Bytes:   math.MaxInt,
+			},
+		},
+		{
+			name: "largest room",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.MaxFloat64,
+			},
+		},
+		{
+			name: "least room",
+			figure: zf.ServiceRoom{
+				Servers: 100,
+				Room:    math.SmallestNonzeroFloat64,
+			},
+		},
+	} {
+		t.Run("nobody leaves for "+c.name, func(t *testing.T) {
+			x := newExchange(price, 0.97)
+			x.run(settle, nil)
+			c.figure.Service, c.figure.Centre = orders, "c1"
+			x.run(settle, func() {
+				x.sites[0].table.Record("c1", []zf.ServiceRoom{c.figure}, x.now)
+				assertNobodyLeaves(t, x)
+			})
+		})
+	}
+}
+
+func TestForgottenCentre(t *testing.T) {
+	t.Run("the others leave for each other as fast as before", func(t *testing.T) {
+		shares := make([]float64, 0, 2)
+		for _, centres := range [][]float64{{0.6, 0.3}, {0.6, 0.3, 0.3}} {
+			x := newExchange(price, centres...)
+			x.run(settle, nil)
+			x.sites = x.sites[:2]
+			x.run(61*time.Minute, nil)
+			x.sites[0].demand = 1500
+			x.run(5*time.Second, nil)
+			shares = append(shares, x.sites[0].leaving())
+		}
+		zfassert.Equal(t, "share", shares[1], shares[0])
+	})
+}
+
+// TestLongSuspension checks that shares of before a suspension of a minute don't come back
+// into force.
+func TestLongSuspension(t *testing.T) {
+	x := newExchange(price, 1.5, 0.3)
+	x.run(settle, nil)
+	home := x.sites[0]
+	assertLeaving(t, home, 0.25, 0.5)
+	x.now = x.now.Add(time.Minute)
+	zfassert.True(t, "it decides nothing", !home.table.Decides(x.now))
+	home.demand = 500
+	x.run(3*time.Second, func() {
+		zfassert.Equal(t, "departures", len(home.table.Departures()), 0)
+	})
+}
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -137,6 +137,7 @@
 		}
 		now := l.config.Clock.Now()
 		l.config.World.Tick(now)
+		l.logDepartures(now)
 		l.reportAdmission()
 		l.countRoom(now)
 		l.flush(now)
@@ -173,7 +174,6 @@
 	l.feed.AnswerFetches(now)
 	l.logChanges()
 	l.logOutliers()
-	l.logDepartures()
 	l.logStepOuts()
 }
 
