Don't time the close of a flow whose caller defers acknowledgements

Cause: a trial of the soak with load.placement wait showed service times of 90 ms and more: callers that acknowledge with their next request close a flow after a pause. Change: once a caller did so, the close of its flow is no sample. Result: go test ./core/zfcookie -run LearnedTimes passes; the soak's callers pause before the close of flows with one request too, which still looks like work.

--- a/core/zfcookie/learn.go
+++ b/core/zfcookie/learn.go
@@ -78,6 +78,9 @@
 	// counted is true from the first acknowledgement of a counted answer to the next
 	// request: the bytes acknowledged belong to the answer.
 	counted bool
+	// deferred is true once the caller acknowledged an answer with the next request only. It
+	// may then end the flow long after the last answer.
+	deferred bool
 }
 
 // newTiming returns the timing of a flow that an opening packet opens. The round trip of a
@@ -123,6 +126,8 @@
 	// prompt is true if the caller sent it as soon as it had the answer, and this
 	// instance received it then.
 	prompt bool
+	// closing is true if the packet ends the flow.
+	closing bool
 }
 
 // acknowledgement returns what a packet without a payload acknowledges. It is not prompt if
@@ -132,6 +137,8 @@
 		number: packet.Acknowledged,
 		at:     now,
 		prompt: m.room != nil && !m.suspended(now) && !m.resumed(now),
+
+		closing: packet.Kind == zf.PacketClosing,
 	}
 }
 
@@ -148,7 +155,8 @@
 	switch {
 	case r.timing.counted:
 		r.learnBytes(r.lastAcknowledged, a.number)
-	case r.requestedAt == 0 || r.retransmissions > 0 || !a.prompt || int32(a.number-r.acknowledgedBefore) <= 0:
+	case !a.prompt || a.closing && r.timing.deferred:
+	case r.requestedAt == 0 || r.retransmissions > 0 || int32(a.number-r.acknowledgedBefore) <= 0:
 	default:
 		r.learnTime(time.Duration(a.at.UnixNano()-r.lastData), a.number)
 	}
@@ -191,6 +199,9 @@
 		r.learnBytes(r.lastAcknowledged, acknowledged)
 		r.timing.counted = false
 	}
+	if r.requestedAt != 0 && int32(acknowledged-r.acknowledgedBefore) > 0 {
+		r.timing.deferred = true
+	}
 }
 
 func (r *requestRow) learnBytes(before, acknowledged uint32) {
--- a/core/zfcookie/wait_test.go
+++ b/core/zfcookie/wait_test.go
@@ -230,6 +230,21 @@
 			zfassert.Equal(t, "bytes", got.Bytes, c.bytes)
 		})
 	}
+	t.Run("a caller that acknowledges with requests may close the flow late", func(t *testing.T) {
+		mapper := zfcookie.New(zfcookie.Config{
+			Learn: true,
+		})
+		mapper.Tick(start, view(row(1, "orders", "one")))
+		cookie := mapper.Route(opening(1, 0), start).Cookie
+		mapper.Route(data(1, cookie, 1), start)
+		next := data(1, cookie, 101)
+		next.Acknowledged = 600
+		mapper.Route(next, start.Add(50*time.Millisecond))
+		closing := next
+		closing.Kind, closing.PayloadSize, closing.Acknowledged = zf.PacketClosing, 0, 1200
+		mapper.Route(closing, start.Add(300*time.Millisecond))
+		zfassert.Equal(t, "answers", mapper.Loads()[0].Answers, 0)
+	})
 	t.Run("nothing is learned during a suspension", func(t *testing.T) {
 		mapper := zfcookie.New(zfcookie.Config{
 			Learn: true,
