Add a command that explains where a new flow would go

Cause: operators ask why a caller's flow went where it went, or where it would go now. Change: zinniafront explain, a call between instances that a control instance passes to the entry instances of a data centre, and Mapper.Explain, which runs the code that places flows without its records and acquisitions.

--- a/core/zfadmission/caller.go
+++ b/core/zfadmission/caller.go
@@ -90,6 +90,35 @@
 	return least
 }
 
+// copyOf returns a copy of the row of a caller as of now, an empty one if there is none.
+func (t *callerTable) copyOf(address netip.Addr, of *class, now int64) callerRow {
+	set := t.setOf(address)
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	for _, r := range set.rows {
+		if r.class == of && r.address == address {
+			r.decay(now)
+			return r
+		}
+	}
+	return callerRow{
+		address:   address,
+		class:     of,
+		countedAt: now,
+	}
+}
+
+// admittedShare counts an opening, and returns the share of such openings that is admitted
+// and whether it is the retry of a refused one.
+func (r *callerRow) admittedShare(limit classLimit, now int64) (share float64, retry bool) {
+	retry = r.recordOpening(now)
+	share, retryShare := limit.admittedShares(r.count())
+	if retry {
+		share = retryShare
+	}
+	return share, retry
+}
+
 // retryWeight is the weight of one opening in callerRow.retryShare.
 const retryWeight = 0.3
 
--- a/core/zfadmission/callers.go
+++ b/core/zfadmission/callers.go
@@ -116,11 +116,9 @@
 	set.mutex.Lock()
 	defer set.mutex.Unlock()
 	row := set.find(address, of, now)
-	retry := row.recordOpening(now)
-	share, retryShare := limit.admittedShares(row.count())
+	share, retry := row.admittedShare(limit, now)
 	if retry {
 		of.retried.Add(1)
-		share = retryShare
 	}
 	if fraction(opening.Hash) < share {
 		of.admitted.Add(1)
@@ -131,6 +129,22 @@
 	return false
 }
 
+// Would implements zinniafront.Admission.
+func (c *Callers) Would(opening zf.Opening, now time.Time) bool {
+	current := c.current.Load()
+	if current == nil {
+		return true
+	}
+	p := current.find(opening.Service)
+	if p == nil {
+		return true
+	}
+	i := min(max(opening.Priority, 0), classCount-1)
+	row := c.table.copyOf(opening.Flow.Source.Addr(), &p.service.classes[i], now.UnixNano())
+	share, _ := row.admittedShare(p.limits[i], now.UnixNano())
+	return fraction(opening.Hash) < share
+}
+
 // failedCopy is the number of retransmissions after which an opening counts as failed: a
 // caller that sends no further copy tries again from another port.
 const failedCopy = 2
--- a/core/zfcookie/admission.go
+++ b/core/zfcookie/admission.go
@@ -13,6 +13,7 @@
 	}
 	m.config.Admission.Tick(now, limits)
 	m.limited.Store(len(limits) > 0)
+	m.limits.Store(&limits)
 }
 
 // admits reports whether a new flow may be forwarded to the backend servers of a pool.
--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -72,6 +72,11 @@
 	return now.UnixNano() >= due && c.nextProbe.CompareAndSwap(due, now.Add(probeInterval).UnixNano())
 }
 
+// mayProbe reports what acquireProbe would, without acquiring.
+func (c *centreStats) mayProbe(now time.Time) bool {
+	return c.misses.Load() < silentMisses || now.UnixNano() >= c.nextProbe.Load()
+}
+
 // unresponsive reports whether the data centre was found unresponsive and has not
 // answered since. This holds for unresponsiveTimeout, or with late, when heartbeats are
 // overdue as well, until clearUnresponsive finds that some are not.
--- a/core/zfcookie/departure.go
+++ b/core/zfcookie/departure.go
@@ -47,19 +47,24 @@
 // last one, left it unanswered: then those at home are tried from the first pair. To a silent
 // data centre only probes leave.
 func (p *pool) depart(o openingPacket) openingPacket {
-	point := o.hash * departureMix >> 32
+	d := p.departureOf(o.hash)
+	switch {
+	case d == nil:
+	case o.previous != nil:
+		o.retransmissions--
+	case d.centre.acquireProbe(o.now):
+		o.away = d.servers
+	}
+	return o
+}
+
+// departureOf returns the departure that a flow is part of, or nil.
+func (p *pool) departureOf(hash uint64) *departure {
+	point := hash * departureMix >> 32
 	for i := range p.departures {
-		d := &p.departures[i]
-		if point >= d.below {
-			continue
-		}
-		switch {
-		case o.previous != nil:
-			o.retransmissions--
-		case d.centre.acquireProbe(o.now):
-			o.away = d.servers
+		if d := &p.departures[i]; point < d.below {
+			return d
 		}
-		break
 	}
-	return o
+	return nil
 }
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -46,6 +46,8 @@
 	verdicts []zf.OpeningVerdict
 	// limited is set while limits for new flows are in force.
 	limited atomic.Bool
+	// limits are those in force, for explanations.
+	limits atomic.Pointer[[]zf.AdmissionLimit]
 	// stats holds the statistics of each backend server. The map belongs to the control
 	// goroutine.
 	stats map[zf.ServerIncarnation]*serverStats
@@ -77,6 +79,8 @@
 	// had been removed.
 	addresses []netip.AddrPort
 	removed   map[netip.AddrPort]time.Time
+	// departures are those of the view, for explanations.
+	departures []zf.Departure
 }
 
 // removedRetention is how long the address of a removed route is kept: flows are older then
@@ -138,8 +142,9 @@
 
 type route struct {
 	targets []target
-	// targetLatency and priority are those of the route's view.
+	// targetLatency, deadline and priority are those of the route's view.
 	targetLatency time.Duration
+	deadline      time.Duration
 	priority      int
 	// times is nil unless Config.Learn is set.
 	times *routeTimes
@@ -316,6 +321,7 @@
 	for _, p := range pools {
 		p.sort()
 	}
+	next.departures = view.Departures
 	for _, departure := range view.Departures {
 		if p := pools[departure.Service]; p != nil {
 			m.setDeparture(p, departure)
@@ -394,6 +400,7 @@
 func newRoute(view zf.RouteView, pools map[zf.ServiceName]*pool) *route {
 	r := &route{
 		targetLatency: view.Target,
+		deadline:      view.Deadline,
 		priority:      view.Priority,
 	}
 	for _, t := range view.Targets {
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -134,11 +134,11 @@
 	start, step := o.hash%size, stride(o.hash/size, size)
 	for i := uint64(offset); i < size; i++ {
 		s := tier[(start+i*step)%size]
-		if s.stats == o.previous || !o.allows(s) || !s.stats.mayProbe(o.now) || s.stats.centre.unresponsive(s.Late, o.now) || o.passesOver(s) {
+		if o.exclusion(s) != zf.ExclusionNone {
 			continue
 		}
 		use := o.use(s)
-		if !costOf.Candidate(use, uint32((o.hash^uint64(s.cookie))*randomFactor>>32)) {
+		if !o.isCandidate(s, use, costOf) {
 			passed = s
 			continue
 		}
@@ -159,6 +159,29 @@
 	return candidate
 }
 
+// exclusion returns why a backend server is passed over.
+func (o openingPacket) exclusion(s *server) zf.Exclusion {
+	switch {
+	case s.stats == o.previous:
+		return zf.ExclusionPrevious
+	case !o.allows(s):
+		return zf.ExclusionCold
+	case !s.stats.mayProbe(o.now):
+		return zf.ExclusionUnanswered
+	case s.stats.centre.unresponsive(s.Late, o.now):
+		return zf.ExclusionCentre
+	case o.passesOver(s):
+		return zf.ExclusionUnopened
+	default:
+		return zf.ExclusionNone
+	}
+}
+
+// isCandidate reports whether a backend server is compared with others for this flow.
+func (o openingPacket) isCandidate(s *server, use zf.ServerUse, costOf zf.Cost) bool {
+	return costOf.Candidate(use, uint32((o.hash^uint64(s.cookie))*randomFactor>>32))
+}
+
 // randomFactor is 2^64 divided by the golden ratio: products with it spread over all bits.
 const randomFactor = 0x9e3779b97f4a7c15
 
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -139,6 +139,12 @@
 	}
 }
 
+// Self returns the name of this instance.
+func (w *World) Self() zf.InstanceName { return w.config.Self }
+
+// Centre returns the data centre of this instance.
+func (w *World) Centre() zf.CentreName { return w.config.Centre }
+
 // Registry returns the table of backend servers.
 func (w *World) Registry() *zfregistry.Table { return w.registry }
 
--- a/core/zfopening/table.go
+++ b/core/zfopening/table.go
@@ -130,7 +130,23 @@
 // set for a copy of an earlier opening packet.
 func (t *Table) Begin(flow *zf.Flow, hash uint64, copied bool, now time.Time) Attempt {
 	t.Expire(now)
-	a := Attempt{
+	a, unopened := t.attempt(flow, hash, copied, now)
+	if unopened {
+		t.settle(a.earlier, phaseUnopened, now)
+	}
+	return a
+}
+
+// Peek returns what Begin would, and changes nothing.
+func (t *Table) Peek(flow *zf.Flow, hash uint64, copied bool, now time.Time) Attempt {
+	a, _ := t.attempt(flow, hash, copied, now)
+	return a
+}
+
+// attempt returns the attempt of an opening packet. unopened is set if it shows that the
+// caller's earlier opening led nowhere.
+func (t *Table) attempt(flow *zf.Flow, hash uint64, copied bool, now time.Time) (a Attempt, unopened bool) {
+	a = Attempt{
 		Retry:  copied,
 		hash:   hash,
 		caller: hashCaller(flow.Source.Addr()),
@@ -139,14 +155,14 @@
 	earlier := t.lastOf(a.key)
 	row, phase := t.find(earlier)
 	if row == nil || row.key.Load() != a.key {
-		return a
+		return a, false
 	}
 	age := now.UnixNano() - row.at.Load()
 	switch {
 	case age >= int64(retryWindow) || phase == phaseFollowed || phase == phaseCancelled:
-		return a
+		return a, false
 	case phase == phasePending && age > t.usual():
-		t.settle(earlier, phaseUnopened, now)
+		unopened = true
 		a.Retry = true
 	case phase == phaseUnopened:
 		a.Retry = true
@@ -156,7 +172,7 @@
 	if before, _ := t.find(Ticket(row.earlier.Load())); before != nil && now.UnixNano()-before.at.Load() < int64(retryWindow) {
 		a.avoided[1] = before.server.Load()
 	}
-	return a
+	return a, unopened
 }
 
 // Record records that an opening packet was forwarded to a backend server.
--- a/io/command/zfcmd/factory.go
+++ b/io/command/zfcmd/factory.go
@@ -82,6 +82,12 @@
 	ErrRefused = errors.New("refused")
 	// ErrTimeout is returned if a change was not in force everywhere before the timeout.
 	ErrTimeout = errors.New("timed out")
+	// ErrInput is returned if an argument has an invalid value.
+	ErrInput = errors.New("invalid argument")
+	// ErrUnreachable is returned if no instance answered.
+	ErrUnreachable = errors.New("no instance answered")
+	// ErrUnknown is returned if the object of a command doesn't exist.
+	ErrUnknown = errors.New("not found")
 )
 
 // Exit codes, described for users in ExitHelp.
@@ -93,12 +99,14 @@
 	ExitUnreachable    = 4
 	ExitOutcomeUnknown = 5
 	ExitTimeout        = 6
+	ExitUnknown        = 7
 )
 
 // ExitHelp describes the exit codes in the help texts of commands.
 const ExitHelp = `Exit codes: 0 success; 1 other failure; 2 invalid usage or document;
 3 refused, nothing changed; 4 no control instance reachable, nothing sent;
-5 outcome unknown, repeat the same command; 6 timed out, not yet in force.`
+5 outcome unknown, repeat the same command; 6 timed out, not yet in force;
+7 the route that was asked for doesn't exist.`
 
 // ExitCode returns the exit code for the error of a command.
 func ExitCode(err error) int {
@@ -106,11 +114,13 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &document):
+	case errors.As(err, &document), errors.Is(err, ErrInput):
 		return ExitInput
 	case errors.Is(err, ErrRefused):
 		return ExitRefused
-	case errors.Is(err, zfoperator.ErrUnreachable):
+	case errors.Is(err, ErrUnknown):
+		return ExitUnknown
+	case errors.Is(err, zfoperator.ErrUnreachable), errors.Is(err, ErrUnreachable):
 		return ExitUnreachable
 	case errors.Is(err, zfoperator.ErrOutcomeUnknown):
 		return ExitOutcomeUnknown
--- a/io/command/zfrootcmd/root.go
+++ b/io/command/zfrootcmd/root.go
@@ -10,6 +10,7 @@
 	"zinniafront/io/command/zfbundlecmd"
 	"zinniafront/io/command/zfcentrecmd"
 	"zinniafront/io/command/zfcmd"
+	"zinniafront/io/command/zfexplaincmd"
 	"zinniafront/io/command/zfkeycmd"
 	"zinniafront/io/command/zfservecmd"
 	"zinniafront/io/command/zfstatuscmd"
@@ -21,6 +22,7 @@
 	Serve      zfservecmd.Options           `cmd:"" help:"Run an instance with the roles in its settings file."`
 	Bundle     zfbundlecmd.Commands         `cmd:"" help:"Validate, sign and submit bundles, put them in force and show them."`
 	Centre     zfcentrecmd.Commands         `cmd:"" help:"Take data centres out of service and bring them back."`
+	Explain    zfexplaincmd.Options         `cmd:"" help:"Show where a new flow would go now, and why, without sending it."`
 	Status     zfstatuscmd.Options          `cmd:"" help:"Show the control state and the sequence that each instance has in force."`
 	Key        zfkeycmd.Commands            `cmd:"" help:"Generate keys."`
 	Version    zfversioncmd.Options         `cmd:"" help:"Show the version."`
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -394,3 +394,19 @@
 	ring := append(slices.Clone(addresses[first:]), addresses[:first]...)
 	return ring[:min(len(ring), limit)]
 }
+
+// SubscribersOf returns the addresses of the entry instances of a data centre that
+// subscribe to this feed, and for the own data centre those of its other feeds.
+func (f *Feed) SubscribersOf(centre zf.CentreName) []netip.AddrPort {
+	if centre == f.config.Centre {
+		return f.Subscribers()
+	}
+	var addresses []netip.AddrPort
+	for address, row := range f.subscribers {
+		if row.centre == centre {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return addresses
+}
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -177,6 +177,8 @@
 	Fetch(args FetchArgs) (FetchReply, error)
 	// Offer handles the address of a control instance that has started.
 	Offer(address netip.AddrPort)
+	// Explain explains where new flows would go.
+	Explain(args ExplainArgs) (ExplainReply, error)
 }
 
 // MaxContactAge is the contact age of an instance that never had contact with a
--- a/io/zfcluster/subscriber_test.go
+++ b/io/zfcluster/subscriber_test.go
@@ -31,6 +31,10 @@
 
 func (i *fakeInstance) Offer(address netip.AddrPort) { i.offered <- address }
 
+func (i *fakeInstance) Explain(zfcluster.ExplainArgs) (zfcluster.ExplainReply, error) {
+	return zfcluster.ExplainReply{}, nil
+}
+
 func (i *fakeInstance) Ask(zfcluster.AskArgs) (zfcluster.AskReply, error) {
 	return zfcluster.AskReply{}, nil
 }
--- a/io/zfcontrollerloop/offer_test.go
+++ b/io/zfcontrollerloop/offer_test.go
@@ -78,6 +78,15 @@
 	return zfcluster.FetchReply{}, nil
 }
 
+// Explain implements zfcluster.Handler.
+func (fakeEntry) Explain(args zfcluster.ExplainArgs) (zfcluster.ExplainReply, error) {
+	return zfcluster.ExplainReply{
+		Explanations: []zf.Explanation{{
+			Flow: args.Flow,
+		}},
+	}, nil
+}
+
 func (e fakeEntry) Offer(address netip.AddrPort) { e.offered <- address }
 
 var (
--- a/ports.go
+++ b/ports.go
@@ -85,6 +85,9 @@
 	// Admit reports whether a new flow may be forwarded. It is safe for concurrent use by
 	// the traffic goroutines and allocates nothing.
 	Admit(opening Opening, now time.Time) bool
+	// Would reports what Admit would for the first opening packet of a flow, without
+	// counting it.
+	Would(opening Opening, now time.Time) bool
 	// Tick applies the limits in force on the control goroutine. A service without a
 	// limit admits all flows.
 	Tick(now time.Time, limits []AdmissionLimit)
--- a/value.go
+++ b/value.go
@@ -109,6 +109,22 @@
 	ActionReset
 )
 
+// String returns the action's name in output.
+func (a Action) String() string {
+	switch a {
+	case ActionDrop:
+		return "drop"
+	case ActionForward:
+		return "forward"
+	case ActionRelay:
+		return "relay"
+	case ActionReset:
+		return "reset"
+	default:
+		return "unknown"
+	}
+}
+
 // Verdict is the decision on one packet.
 type Verdict struct {
 	Action Action
