--- a/io/zfcontrollerloop/explain_test.go
+++ b/io/zfcontrollerloop/explain_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	zf "zinniafront"
+	"zinniafront/io/zfclock"
 	"zinniafront/io/zfcluster"
 	"zinniafront/io/zfcontrollerloop"
 	"zinniafront/lab/zfassert"
@@ -22,7 +23,7 @@
 }
 
 func TestExplainThroughControlInstance(t *testing.T) {
-	loop := newLoop(&memoryStore{}, &memoryStore{})
+	loop := newLoopWith(zfclock.System{}, &memoryStore{}, &memoryStore{})
 	run(t, loop)
 	args := zfcluster.ExplainArgs{
 		Flow: zf.Flow{
--- a/io/zfcontrollerloop/offer_test.go
+++ b/io/zfcontrollerloop/offer_test.go
@@ -115,7 +115,10 @@
 
 // newLoop returns the loop of a control instance without peers.
 func newLoop(records, subscribers zf.Store) *zfcontrollerloop.Loop {
-	clock := &fastClock{}
+	return newLoopWith(&fastClock{}, records, subscribers)
+}
+
+func newLoopWith(clock zf.Clock, records, subscribers zf.Store) *zfcontrollerloop.Loop {
 	return zfcontrollerloop.New(zfcontrollerloop.Config{
 		World: zfcontroller.New(zfcontroller.Config{
 			Quorum: zfquorum.Config{
