--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -98,7 +98,7 @@
 	Strain      metrics.Gauge
 	Shed        metrics.GaugeFloat64
 	// Link counts the bytes on the instance's link: packets, and calls of this process
-	// and of others, without the headers of the network.
+	// and of others, with the headers of datagrams.
 	Link ByteCounters
 
 	// AskTime, SaveTime and FetchTime are histograms of the durations of operations,
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -137,11 +137,18 @@
 	}
 }
 
+// headerBytes is what a datagram takes on a link besides its payload: the headers of UDP
+// and IPv4, and those, the preamble and the gap of Ethernet.
+const headerBytes = 8 + 20 + 38
+
+// linkBytes returns the number of bytes that a datagram takes on a link.
+func linkBytes(payload int) int64 { return int64(payload + headerBytes) }
+
 // handle decides on one packet and carries out the decision.
 func (s *Sockets) handle(framing zf.Framing, frame []byte, relay netip.AddrPort) {
 	counters := s.config.Counters
 	counters.PacketReceived.Inc(1)
-	counters.Link.Received.Inc(int64(len(frame) - framing.Headroom()))
+	counters.Link.Received.Inc(linkBytes(len(frame) - framing.Headroom()))
 	packet, err := framing.Decode(frame[framing.Headroom():])
 	if err != nil {
 		counters.PacketDropped.Add(reasonOf(err))
@@ -160,7 +167,7 @@
 	switch verdict.Action {
 	case zf.ActionForward:
 		datagram := framing.Forward(frame, verdict)
-		counters.Link.Sent.Inc(int64(len(datagram)))
+		counters.Link.Sent.Inc(linkBytes(len(datagram)))
 		_, err = s.traffic.WriteToUDPAddrPort(datagram, verdict.To)
 		counters.PacketForwarded.Inc(1)
 	case zf.ActionRelay:
@@ -230,7 +237,7 @@
 	if !ok {
 		return nil
 	}
-	s.config.Counters.Link.Sent.Inc(int64(len(datagram)))
+	s.config.Counters.Link.Sent.Inc(linkBytes(len(datagram)))
 	_, err := s.traffic.WriteToUDPAddrPort(datagram, to)
 	return errors.Wrap(err, "send reset")
 }
