Report loads as usual while an instance is under strain

Cause: an instance whose link or processor ran short reported its loads half as often. Placement and leaving, which relieve the overload, work by these reports.

--- a/core/zfforward/stepout.go
+++ b/core/zfforward/stepout.go
@@ -94,11 +94,3 @@
 // SteppedOut reports whether this instance has left the rotation with a permit. It goes on
 // forwarding what arrives.
 func (w *World) SteppedOut() bool { return w.stepOut.out }
-
-// loadsInterval returns the time between two reports of loads.
-func (w *World) loadsInterval() time.Duration {
-	if w.strain == zf.StrainNone {
-		return w.loadInterval
-	}
-	return 2 * w.loadInterval
-}
