Let old held packets give way to new ones

Cause: a table full of packets too old to be released refused every later packet, so an instance that waits long for its tables released nothing of what had just arrived. Change: a full table removes packets of the maximum age, at most every 100 ms. Result: the subtest with 5 s of a packet each millisecond failed before and passes.

--- a/core/zfhold/table.go
+++ b/core/zfhold/table.go
@@ -20,6 +20,8 @@
 	// maxAge is the age from which a packet isn't released: its caller retransmits an
 	// opening packet after 200 and 600 ms.
 	maxAge = 600 * time.Millisecond
+	// sweepInterval is the minimum time between two removals of packets of maxAge.
+	sweepInterval = 100 * time.Millisecond
 )
 
 // key identifies a packet and its retransmissions.
@@ -40,6 +42,7 @@
 	mutex    sync.Mutex
 	rows     map[key]row
 	bytes    int
+	swept    time.Time
 	released bool
 }
 
@@ -61,11 +64,10 @@
 		kind:     packet.Kind,
 		sequence: packet.Sequence,
 	}
-	earlier, known := t.rows[k]
-	if t.released || !known && len(t.rows) >= maxRows || t.bytes+len(frame)-len(earlier.frame) > maxBytes {
+	if t.released || !t.hasRoom(k, len(frame)) && !(t.sweep(now) && t.hasRoom(k, len(frame))) {
 		return false
 	}
-	t.bytes += len(frame) - len(earlier.frame)
+	t.bytes += len(frame) - len(t.rows[k].frame)
 	t.rows[k] = row{
 		frame:     slices.Clone(frame),
 		arrivedAt: now,
@@ -73,6 +75,28 @@
 	return true
 }
 
+// hasRoom reports whether a packet of a size may be added, in place of one with its key.
+func (t *Table) hasRoom(k key, size int) bool {
+	earlier, known := t.rows[k]
+	return (known || len(t.rows) < maxRows) && t.bytes+size-len(earlier.frame) <= maxBytes
+}
+
+// sweep removes the packets that would not be released for their age. It returns false if it
+// has just done so.
+func (t *Table) sweep(now time.Time) bool {
+	if now.Sub(t.swept) < sweepInterval {
+		return false
+	}
+	t.swept = now
+	for k, r := range t.rows {
+		if now.Sub(r.arrivedAt) >= maxAge {
+			t.bytes -= len(r.frame)
+			delete(t.rows, k)
+		}
+	}
+	return true
+}
+
 // Release empties the table for good and returns the frames that are not older than maxAge,
 // in the order of their arrival.
 func (t *Table) Release(now time.Time) [][]byte {
--- a/core/zfhold/table_test.go
+++ b/core/zfhold/table_test.go
@@ -61,6 +61,13 @@
 		table.Release(start)
 		zfassert.True(t, "refused", !table.Add(packet(1, 1), []byte("a"), start))
 	})
+	t.Run("old packets give way in a long wait for the tables", func(t *testing.T) {
+		table, now := zfhold.New(), start
+		for sequence := range uint32(5000) {
+			now = now.Add(time.Millisecond)
+			zfassert.True(t, "held", table.Add(packet(1, sequence), []byte("a"), now))
+		}
+	})
 	t.Run("a flood is bounded", func(t *testing.T) {
 		table, held := zfhold.New(), 0
 		for sequence := range uint32(100_000) {
