Release no held opening packet around its copy

Cause: a held opening packet and its copy, when the one is released just before or after the other arrives, went to different backend servers. Both answer, and the caller's later packets carry the echo of the answer that came last, whichever one has the flow. Change: an opening packet is not released within 50 ms of the time its copy is due; the copy opens the flow.

--- a/core/zfhold/table.go
+++ b/core/zfhold/table.go
@@ -20,10 +20,20 @@
 	// maxAge is the age from which a packet isn't released: its caller retransmits an
 	// opening packet after 200 and 600 ms.
 	maxAge = 600 * time.Millisecond
+	// copyMargin is the time before and after the arrival of a copy in which the opening
+	// packet before it isn't released.
+	copyMargin = 50 * time.Millisecond
 	// sweepInterval is the minimum time between two removals of packets of maxAge.
 	sweepInterval = 100 * time.Millisecond
 )
 
+// copyDelays are the times from an opening packet to its copies, by the number of copies
+// that went before it.
+var copyDelays = [][]time.Duration{
+	{200 * time.Millisecond, 600 * time.Millisecond},
+	{400 * time.Millisecond},
+}
+
 // key identifies a packet and its retransmissions.
 type key struct {
 	flow     zf.Flow
@@ -34,6 +44,8 @@
 type row struct {
 	frame     []byte
 	arrivedAt time.Time
+	// copyDelays are the times from arrivedAt to copies of the packet that may follow.
+	copyDelays []time.Duration
 }
 
 // Table holds the packets. It is safe for concurrent use by the traffic goroutines and the
@@ -69,8 +81,9 @@
 	}
 	t.bytes += len(frame) - len(t.rows[k].frame)
 	t.rows[k] = row{
-		frame:     slices.Clone(frame),
-		arrivedAt: now,
+		frame:      slices.Clone(frame),
+		arrivedAt:  now,
+		copyDelays: copyDelaysOf(packet),
 	}
 	return true
 }
@@ -97,14 +110,29 @@
 	return true
 }
 
-// Release empties the table for good and returns the frames that are not older than maxAge,
-// in the order of their arrival.
+// copyDelaysOf returns the times until copies of a packet that may follow.
+func copyDelaysOf(packet *zf.Packet) []time.Duration {
+	if packet.Kind != zf.PacketOpening || packet.Retransmissions >= len(copyDelays) {
+		return nil
+	}
+	return copyDelays[packet.Retransmissions]
+}
+
+// mayRelease reports whether the packet may be released. Around the arrival of a copy it may
+// not: the two would go to different backend servers, and both would answer.
+func (r *row) mayRelease(now time.Time) bool {
+	age := now.Sub(r.arrivedAt)
+	return age < maxAge && !slices.ContainsFunc(r.copyDelays, func(delay time.Duration) bool { return (age - delay).Abs() < copyMargin })
+}
+
+// Release empties the table for good and returns the frames that are not older than maxAge
+// and whose copies are not due, in the order of their arrival.
 func (t *Table) Release(now time.Time) [][]byte {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	rows := make([]row, 0, len(t.rows))
 	for _, r := range t.rows {
-		if now.Sub(r.arrivedAt) < maxAge {
+		if r.mayRelease(now) {
 			rows = append(rows, r)
 		}
 	}
--- a/core/zfhold/table_test.go
+++ b/core/zfhold/table_test.go
@@ -1,6 +1,7 @@
 package zfhold_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -61,6 +62,22 @@
 		table.Release(start)
 		zfassert.True(t, "refused", !table.Add(packet(1, 1), []byte("a"), start))
 	})
+	t.Run("an opening packet is not released around its copy", func(t *testing.T) {
+		for retransmissions, ages := range map[int]map[int]bool{
+			0: {100: true, 190: false, 210: false, 300: true, 590: false},
+			1: {210: true, 390: false, 410: false, 500: true},
+			2: {210: true, 410: true, 590: true},
+		} {
+			for age, released := range ages {
+				opening, table := packet(1, 1), zfhold.New()
+				opening.Kind = zf.PacketOpening
+				opening.Retransmissions = retransmissions
+				table.Add(opening, []byte("a"), start)
+				frames := table.Release(start.Add(time.Duration(age) * time.Millisecond))
+				zfassert.Equal(t, fmt.Sprintf("released after %d copies at age %d ms", retransmissions, age), len(frames) == 1, released)
+			}
+		}
+	})
 	t.Run("old packets give way in a long wait for the tables", func(t *testing.T) {
 		table, now := zfhold.New(), start
 		for sequence := range uint32(5000) {
