Drop evidence that was added while it was cleared

Cause: a traffic goroutine that added an unopened opening while another one cleared the evidence could leave its caller in an evidence without a beginning. The next clear then did nothing, and the next unopened opening of one caller made a verdict, whenever it came. Change: evidence without a beginning counts as none; who begins it clears the keys first.

--- a/core/zfopening/server.go
+++ b/core/zfopening/server.go
@@ -44,7 +44,9 @@
 	if now.UnixNano()-e.lastAt.Load() >= int64(evidenceLifetime) {
 		e.clear()
 	}
-	e.firstAt.CompareAndSwap(0, now.UnixNano())
+	if e.firstAt.CompareAndSwap(0, now.UnixNano()) {
+		e.clearKeys() // Another goroutine may have added one after it was cleared.
+	}
 	e.lastAt.Store(now.UnixNano())
 	for i := range e.keys {
 		if e.keys[i].Load() == key || e.keys[i].CompareAndSwap(0, key) {
@@ -55,7 +57,7 @@
 
 // count returns the number of different keys.
 func (e *evidence) count(now time.Time) int {
-	if now.UnixNano()-e.lastAt.Load() >= int64(evidenceLifetime) {
+	if e.firstAt.Load() == 0 || now.UnixNano()-e.lastAt.Load() >= int64(evidenceLifetime) {
 		return 0
 	}
 	count := 0
@@ -72,10 +74,14 @@
 	if e.firstAt.Load() == 0 {
 		return
 	}
+	e.clearKeys()
+	e.firstAt.Store(0)
+}
+
+func (e *evidence) clearKeys() {
 	for i := range e.keys {
 		e.keys[i].Store(0)
 	}
-	e.firstAt.Store(0)
 }
 
 // Server is the row of one incarnation of a backend server.
@@ -88,8 +94,9 @@
 	unopened atomic.Int64
 	// callers is the evidence by caller.
 	callers evidence
-	// lastSent is when an opening was last sent, lastOpened when one was last followed, pooledUntil the end of a verdict
-	// from sums, nextProbe the earliest time of the next probe, in Unix nanoseconds.
+	// lastSent is when an opening was last sent, lastOpened when one was last followed,
+	// pooledUntil the end of a verdict from sums, nextProbe the earliest time of the next
+	// probe, in Unix nanoseconds.
 	lastSent    atomic.Int64
 	lastOpened  atomic.Int64
 	pooledUntil atomic.Int64
