Set when a phase of a data centre began before the phase

Cause: a goroutine that saw the new phase with the old beginning took a return that had just begun for one that had timed out, and all new flows of the instance went back at once. Change: the beginning, the count and the next probe are stored before the phase.

--- a/core/zfopening/centre.go
+++ b/core/zfopening/centre.go
@@ -107,16 +107,15 @@
 	c.callers.add(caller, now)
 }
 
-// enter changes the phase. It does nothing if another goroutine has.
+// enter changes the phase, unless another goroutine has. What belongs to the phase is set
+// first: a goroutine that sees the phase also sees when it began.
 func (c *Centre) enter(from, to int32, now time.Time) {
-	if !c.phase.CompareAndSwap(from, to) {
-		return
-	}
 	c.phaseAt.Store(now.UnixNano())
 	c.opened.Store(0)
 	if to == centreRefusing {
 		c.nextProbe.Store(now.Add(centreProbeInterval).UnixNano())
 	}
+	c.phase.CompareAndSwap(from, to)
 }
 
 // doubted reports whether openings at several backend servers, of several callers, led
--- a/core/zfopening/concurrent_test.go
+++ b/core/zfopening/concurrent_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"zinniafront/lab/zfassert"
 )
 
 // rounds is the number of times that a concurrent load is repeated.
@@ -44,4 +47,27 @@
 			w.follow(s, 9)
 		}
 	})
+	t.Run("a return after a long outage begins with its first step", func(t *testing.T) {
+		w := newWorld("one", "two")
+		s := w.servers["one"][3]
+		for range rounds / 10 {
+			for range 12 {
+				w.refuse()
+				for n := range byte(6) {
+					w.follow(w.servers["two"][n%4], n)
+				}
+				w.now = w.now.Add(time.Second)
+			}
+			var done atomic.Bool
+			together(
+				func() { s.RecordOpened(w.now); done.Store(true) },
+				func() {
+					for !done.Load() {
+						w.table.CentreChanges(w.now)
+					}
+				},
+			)
+			zfassert.AtMost(t, "share", w.shareOf("one"), 0.2)
+		}
+	})
 }
