Count held packets once as received

Cause: a packet that was held was counted again, as were its bytes, when it was released. Change: packets are counted where they are read. Result: the test of packets before the tables got 2 received packets instead of 1; it passes.

--- a/io/zftraffic/held_test.go
+++ b/io/zftraffic/held_test.go
@@ -61,4 +61,5 @@
 	n, _, err := sink.ReadFromUDPAddrPort(buffer)
 	zfassert.NoError(t, err)
 	zfassert.Equal(t, "packet", buffer[:n], data)
+	zfassert.Equal(t, "packets received", counters.PacketReceived.Count(), int64(1))
 }
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -127,6 +127,8 @@
 			relay = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		}
 		frame := buffer[:framing.Headroom()+n]
+		s.config.Counters.PacketReceived.Inc(1)
+		s.config.Counters.Link.Received.Inc(int64(n))
 		if packets++; packets%zfcounter.ForwardSampleInterval != 0 {
 			s.handle(framing, frame, relay)
 			continue
@@ -140,8 +142,6 @@
 // handle decides on one packet and carries out the decision.
 func (s *Sockets) handle(framing zf.Framing, frame []byte, relay netip.AddrPort) {
 	counters := s.config.Counters
-	counters.PacketReceived.Inc(1)
-	counters.Link.Received.Inc(int64(len(frame) - framing.Headroom()))
 	packet, err := framing.Decode(frame[framing.Headroom():])
 	if err != nil {
 		counters.PacketDropped.Add(reasonOf(err))
