--- a/core/zfcookie/opening_test.go
+++ b/core/zfcookie/opening_test.go
@@ -45,9 +45,10 @@
 
 // openingResult is what callers saw of an openingLoad.
 type openingResult struct {
-	// refused counts the openings that met a closed port by backend server, opened those
-	// that opened.
+	// refused counts the openings that met a closed port by backend server, ignored those
+	// that got no answer, opened those that opened.
 	refused map[uint64]int
+	ignored map[uint64]int
 	opened  map[uint64]int
 	// sent holds the openings to data centre one of each 100 ms, all those to anywhere.
 	sent []int
@@ -83,6 +84,7 @@
 		later:       make(map[time.Duration][]func()),
 		result: openingResult{
 			refused: make(map[uint64]int),
+			ignored: make(map[uint64]int),
 			opened:  make(map[uint64]int),
 			sent:    make([]int, d/(100*time.Millisecond)),
 			all:     make([]int, d/(100*time.Millisecond)),
@@ -166,6 +168,7 @@
 			p.after(retryDelay, func() { p.open(caller, try+1) })
 		}
 	case p.silent != nil && p.silent(server, p.at):
+		p.result.ignored[server.Number]++
 		if packet.Retransmissions < 2 {
 			packet.Retransmissions++
 			p.after(retransmissionDelays[packet.Retransmissions-1], func() { p.send(packet, caller, try) })
@@ -270,6 +273,53 @@
 	})
 }
 
+// TestColdServers checks that no evidence sends cold backend servers more new flows than
+// they sustain.
+func TestColdServers(t *testing.T) {
+	const (
+		rate   = 2
+		length = 5 * time.Second
+	)
+	always := func(zf.ServerView, time.Duration) bool { return true }
+	for name, load := range map[string]openingLoad{
+		"sound": {},
+		"a data centre refuses": {
+			closed: closedCentre("one", learning, length),
+		},
+		"a data centre is silent": {
+			silent: closedCentre("one", learning, length),
+		},
+		"it refuses for a second": {
+			closed: closedCentre("one", learning, time.Second),
+		},
+		"all data centres refuse": {
+			closed: always,
+		},
+		"all data centres are silent": {
+			silent: always,
+		},
+		"callers behind one address": {
+			address: func(int) int { return 1 },
+			closed:  closedCentre("one", learning, length),
+		},
+		"an instance that is suspended": {
+			suspended: func(at time.Duration) bool { return between(at, learning, time.Second) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load.view, load.pause = centreView(false), 5*time.Millisecond
+			for i := range load.view.Servers {
+				load.view.Servers[i].OpeningRate = rate
+			}
+			result := load.run(length)
+			for _, server := range load.view.Servers {
+				sent := result.opened[server.Number] + result.refused[server.Number] + result.ignored[server.Number]
+				zfassert.AtMost(t, "new flows of "+string(server.Name), float64(sent), rate*length.Seconds()+1)
+			}
+		})
+	}
+}
+
 func TestDeadServers(t *testing.T) {
 	thirty := rows(30)
 	t.Run("one dead backend server among thirty", func(t *testing.T) {
