--- a/core/zfcookie/opening_test.go
+++ b/core/zfcookie/opening_test.go
@@ -1,6 +1,7 @@
 package zfcookie_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -41,13 +42,16 @@
 	suspended func(at time.Duration) bool
 	// retriesElsewhere has all retries go to other instances.
 	retriesElsewhere bool
+	// restElsewhere is the percentage of flows whose next packets go to other instances.
+	restElsewhere int
 }
 
 // openingResult is what callers saw of an openingLoad.
 type openingResult struct {
-	// refused counts the openings that met a closed port by backend server, opened those
-	// that opened.
+	// refused counts the openings that met a closed port by backend server, ignored those
+	// that got no answer, opened those that opened.
 	refused map[uint64]int
+	ignored map[uint64]int
 	opened  map[uint64]int
 	// sent holds the openings to data centre one of each 100 ms, all those to anywhere.
 	sent []int
@@ -63,6 +67,8 @@
 const (
 	openingRoundTrip = 4 * time.Millisecond
 	retryDelay       = 6 * time.Millisecond
+	// portFactor is a factor with which consecutive ports spread over all numbers.
+	portFactor = 40503
 )
 
 // openingPlay is an openingLoad that is being replayed.
@@ -83,6 +89,7 @@
 		later:       make(map[time.Duration][]func()),
 		result: openingResult{
 			refused: make(map[uint64]int),
+			ignored: make(map[uint64]int),
 			opened:  make(map[uint64]int),
 			sent:    make([]int, d/(100*time.Millisecond)),
 			all:     make([]int, d/(100*time.Millisecond)),
@@ -166,6 +173,7 @@
 			p.after(retryDelay, func() { p.open(caller, try+1) })
 		}
 	case p.silent != nil && p.silent(server, p.at):
+		p.result.ignored[server.Number]++
 		if packet.Retransmissions < 2 {
 			packet.Retransmissions++
 			p.after(retransmissionDelays[packet.Retransmissions-1], func() { p.send(packet, caller, try) })
@@ -175,6 +183,9 @@
 		request := requestOf(packet, verdict.Cookie)
 		handshake := request
 		handshake.PayloadSize = 0
+		if int(packet.Flow.Source.Port()*portFactor%100) < p.restElsewhere {
+			return
+		}
 		p.after(openingRoundTrip, func() {
 			p.mapper.Route(handshake, start.Add(p.at))
 			p.mapper.Route(request, start.Add(p.at))
@@ -270,6 +281,53 @@
 	})
 }
 
+// TestColdServers checks that no evidence sends cold backend servers more new flows than
+// they sustain.
+func TestColdServers(t *testing.T) {
+	const (
+		rate   = 2
+		length = 5 * time.Second
+	)
+	always := func(zf.ServerView, time.Duration) bool { return true }
+	for name, load := range map[string]openingLoad{
+		"sound": {},
+		"a data centre refuses": {
+			closed: closedCentre("one", learning, length),
+		},
+		"a data centre is silent": {
+			silent: closedCentre("one", learning, length),
+		},
+		"it refuses for a second": {
+			closed: closedCentre("one", learning, time.Second),
+		},
+		"all data centres refuse": {
+			closed: always,
+		},
+		"all data centres are silent": {
+			silent: always,
+		},
+		"callers behind one address": {
+			address: func(int) int { return 1 },
+			closed:  closedCentre("one", learning, length),
+		},
+		"an instance that is suspended": {
+			suspended: func(at time.Duration) bool { return between(at, learning, time.Second) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			load.view, load.pause = centreView(false), 5*time.Millisecond
+			for i := range load.view.Servers {
+				load.view.Servers[i].OpeningRate = rate
+			}
+			result := load.run(length)
+			for _, server := range load.view.Servers {
+				sent := result.opened[server.Number] + result.refused[server.Number] + result.ignored[server.Number]
+				zfassert.AtMost(t, "new flows of "+string(server.Name), float64(sent), rate*length.Seconds()+1)
+			}
+		})
+	}
+}
+
 func TestDeadServers(t *testing.T) {
 	thirty := rows(30)
 	t.Run("one dead backend server among thirty", func(t *testing.T) {
@@ -327,6 +385,23 @@
 	}
 }
 
+// TestRestElsewhere checks that an instance that opens flows whose next packets often go to
+// other instances, as when the fabric spreads packets anew, keeps using a sound data centre.
+func TestRestElsewhere(t *testing.T) {
+	for _, percentage := range []int{10, 20, 30, 40, 45, 55} {
+		t.Run(fmt.Sprintf("%d %% of flows", percentage), func(t *testing.T) {
+			result := openingLoad{
+				view:          centreView(false),
+				pause:         50 * time.Millisecond,
+				restElsewhere: percentage,
+			}.run(30 * time.Second)
+			for i := range result.all {
+				zfassert.Equal(t, "openings at home", result.sent[i], result.all[i])
+			}
+		})
+	}
+}
+
 // followed opens flows of different callers that send a request after the round trip.
 func followed(mapper *zfcookie.Mapper, flows int) {
 	for n := range flows {
--- a/core/zfopening/centre.go
+++ b/core/zfopening/centre.go
@@ -102,27 +102,26 @@
 	}
 }
 
-func (c *Centre) recordUnopened(server, caller uint64, now time.Time) {
-	c.servers.add(server, now)
-	c.callers.add(caller, now)
+func (c *Centre) recordUnopened(server, caller uint64, surprise int64, now time.Time) {
+	c.servers.add(server, surprise, now)
+	c.callers.add(caller, surprise, now)
 }
 
-// enter changes the phase. It does nothing if another goroutine has.
+// enter changes the phase, unless another goroutine has. What belongs to the phase is set
+// first: a goroutine that sees the phase also sees when it began.
 func (c *Centre) enter(from, to int32, now time.Time) {
-	if !c.phase.CompareAndSwap(from, to) {
-		return
-	}
 	c.phaseAt.Store(now.UnixNano())
 	c.opened.Store(0)
 	if to == centreRefusing {
 		c.nextProbe.Store(now.Add(centreProbeInterval).UnixNano())
 	}
+	c.phase.CompareAndSwap(from, to)
 }
 
 // doubted reports whether openings at several backend servers, of several callers, led
 // nowhere and none was followed since.
 func (c *Centre) doubted(now time.Time) bool {
-	return c.servers.count(now) >= refusingServers && c.callers.count(now) >= refusingCallers
+	return c.servers.count(now) >= refusingServers && c.callers.count(now) >= refusingCallers && c.callers.convincing()
 }
 
 // contrast reports whether flows have opened in another data centre since the evidence
