Require a sign of overload before new flows are turned away

Cause: a limit began by estimates alone. The expected wait and the backlog both follow from the room, so that one learned too small (answers measured late, servers that process more than their slots, callers that never acknowledge by themselves) turned flows away although all requests were answered in time. Change: rooms carry the mean time of an answer and the share of rejected requests; excess counts for a limit only while one of both shows overload. The tests' own service model now reports rejections and answer times.

--- a/core/zfadmission/limit.go
+++ b/core/zfadmission/limit.go
@@ -9,6 +9,8 @@
 	// endWaitShare of its bound, before a limit ends.
 	endTime      = time.Second
 	endWaitShare = 0.5
+	// minRejected is the share of rejected requests from which a service is overloaded.
+	minRejected = 0.05
 	// usedShare is the share of the room that a limit fills. It is drainShare while
 	// requests wait for longer than callers bear, so that queues get shorter.
 	usedShare  = 0.97
@@ -33,7 +35,8 @@
 // row is the state of one service.
 type row struct {
 	figures figures
-	// excessSince is since when the demand has exceeded the room, or the zero value.
+	// excessSince is since when the demand has exceeded the room of an overloaded service,
+	// the time of the last step if the service isn't overloaded, or the zero value.
 	// backlog is the time that working off the excess would take.
 	excessSince time.Time
 	backlog     time.Duration
@@ -85,16 +88,24 @@
 	}
 }
 
-// watch begins the limit once the demand has exceeded the room for onsetTime and the
-// expected wait is beyond its bound.
+// overloaded reports whether callers notice that the service lacks room: requests are rejected
+// or answered after their target. The room is an estimate, and one that is too low would
+// turn flows away that backend servers have room for.
+func (f *figures) overloaded(bound time.Duration) bool {
+	return f.rejected >= minRejected || f.answer > time.Duration(float64(bound)/waitShare)
+}
+
+// watch begins the limit once the demand has exceeded the room of an overloaded service for
+// onsetTime and the expected wait is beyond its bound.
 func (r *row) watch(bound, passed time.Duration, now time.Time) {
 	f := r.figures
 	if f.demand <= f.room {
 		r.end()
 		return
 	}
-	if r.excessSince.IsZero() {
+	if r.excessSince.IsZero() || !f.overloaded(bound) {
 		r.excessSince = now
+		r.backlog = 0
 	} else {
 		r.backlog += time.Duration(float64(passed) * (f.demand/f.room - 1))
 	}
--- a/core/zfadmission/load_test.go
+++ b/core/zfadmission/load_test.go
@@ -66,14 +66,17 @@
 	longest time.Duration
 	queue   time.Duration
 	// arrivals are those since the last measurement, measured and measuredWait its results,
-	// demand and wait those that have arrived at the control instance.
-	arrivals     float64
-	measured     float64
-	measuredWait time.Duration
-	demand       float64
-	wait         time.Duration
-	measuredAt   time.Time
-	served       float64
+	// demand, wait and rejected those that have arrived at the control instance.
+	arrivals         float64
+	refused          float64
+	measured         float64
+	measuredWait     time.Duration
+	measuredRejected float64
+	demand           float64
+	wait             time.Duration
+	rejected         float64
+	measuredAt       time.Time
+	served           float64
 }
 
 // deployment plays a load with the admission of one data centre.
@@ -149,10 +152,12 @@
 		for _, p := range d.pools {
 			p.queue = max(p.queue-tick, 0)
 			if at%time.Second == 0 {
-				p.measured, p.arrivals, p.measuredWait = p.arrivals, 0, p.queue
+				p.measuredRejected = p.refused / max(p.arrivals, 1)
+				p.measured, p.arrivals, p.refused, p.measuredWait = p.arrivals, 0, 0, p.queue
 			}
 			if at%time.Second == sumDelay && !d.stale(at) {
 				p.demand, p.wait, p.measuredAt = p.measured, p.measuredWait, now.Add(-sumDelay)
+				p.rejected = p.measuredRejected
 			}
 		}
 		d.table.Tick(now, zfadmission.Input{
@@ -176,12 +181,14 @@
 	var rooms []zf.ServiceRoom
 	for name, p := range d.pools {
 		rooms = append(rooms, zf.ServiceRoom{
-			Service: name,
-			Centre:  "one",
-			Room:    p.room,
-			Demand:  p.demand,
-			Wait:    p.wait,
-			Age:     now.Sub(p.measuredAt),
+			Service:  name,
+			Centre:   "one",
+			Room:     p.room,
+			Demand:   p.demand,
+			Wait:     p.wait,
+			Answer:   p.wait + service,
+			Rejected: p.rejected,
+			Age:      now.Sub(p.measuredAt),
 		})
 	}
 	return rooms
@@ -230,6 +237,7 @@
 			p.served++
 			return p.queue+service <= target, true
 		}
+		p.refused++
 	}
 	return false, admitted
 }
--- a/core/zfadmission/table.go
+++ b/core/zfadmission/table.go
@@ -161,9 +161,11 @@
 type figures struct {
 	room   float64
 	demand float64
-	// wait is the mean of the data centres, weighted by demand.
-	wait time.Duration
-	age  time.Duration
+	// wait, answer and rejected are the means of the data centres, weighted by demand.
+	wait     time.Duration
+	answer   time.Duration
+	rejected float64
+	age      time.Duration
 }
 
 // sumRooms sums the figures of each service over the data centres in service. Services
@@ -182,7 +184,10 @@
 		f.room += room.Room
 		f.demand += room.Demand
 		if room.Demand > 0 {
-			f.wait += time.Duration(float64(room.Wait-f.wait) * room.Demand / f.demand)
+			weight := room.Demand / f.demand
+			f.wait += time.Duration(float64(room.Wait-f.wait) * weight)
+			f.answer += time.Duration(float64(room.Answer-f.answer) * weight)
+			f.rejected += (room.Rejected - f.rejected) * weight
 		}
 		f.age = max(f.age, room.Age)
 		sums[room.Service] = f
--- a/core/zfadmission/table_test.go
+++ b/core/zfadmission/table_test.go
@@ -186,11 +186,65 @@
 
 func room(centre zf.CentreName, room, demand float64) zf.ServiceRoom {
 	return zf.ServiceRoom{
-		Service: "orders",
-		Centre:  centre,
-		Room:    room,
-		Demand:  demand,
-		Wait:    time.Second,
+		Service:  "orders",
+		Centre:   centre,
+		Room:     room,
+		Demand:   demand,
+		Wait:     time.Second,
+		Rejected: 0.5,
+	}
+}
+
+// TestRoomTooSmall replays a room that was learned too small: waits and demand seem to exceed
+// what callers bear, while they get their answers.
+func TestRoomTooSmall(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answer   time.Duration
+		rejected float64
+		want     float64
+	}{
+		{
+			name:   "answers in time",
+			answer: 100 * time.Millisecond,
+			want:   1,
+		},
+		{
+			name:   "long requests within the target",
+			answer: target - time.Millisecond,
+			want:   1,
+		},
+		{
+			name:     "few answers that seem rejected",
+			answer:   100 * time.Millisecond,
+			rejected: 0.02,
+			want:     1,
+		},
+		{
+			name: "no answers observed",
+			want: 1,
+		},
+		{
+			name:   "answers later than the target",
+			answer: 2 * target,
+			want:   0.5,
+		},
+		{
+			name:     "rejected requests",
+			answer:   100 * time.Millisecond,
+			rejected: 0.3,
+			want:     0.5,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			small := room("one", 100, 300)
+			small.Answer, small.Rejected = c.answer, c.rejected
+			for _, limit := range limitsAfter([]zf.ServiceRoom{small}, target) {
+				zfassert.AtMost(t, "share", limit.Share, c.want)
+				zfassert.True(t, "share is 1 without overload", c.want < 1 || limit.Share == 1)
+			}
+			zfassert.Equal(t, "limits", len(limitsAfter([]zf.ServiceRoom{small}, target)), 1)
+		})
 	}
 }
 
--- a/core/zfdeparture/table.go
+++ b/core/zfdeparture/table.go
@@ -214,6 +214,8 @@
 	room.Demand = boundedRate(room.Demand)
 	room.Own = boundedRate(room.Own)
 	room.Wait = boundedWait(room.Wait)
+	room.Answer = boundedWait(room.Answer)
+	room.Rejected = boundedShare(room.Rejected)
 	room.Bytes = min(max(room.Bytes, 0), maxBytes)
 	return room
 }
@@ -226,6 +228,14 @@
 	return 0
 }
 
+// boundedShare returns a share, or 0 if it is beyond the bounds or not a number.
+func boundedShare(share float64) float64 {
+	if share >= 0 && share <= 1 {
+		return share
+	}
+	return 0
+}
+
 func boundedWait(wait time.Duration) time.Duration { return min(max(wait, 0), maxWait) }
 
 // delayRise is the part of a longer round trip by which the known one rises. Single
@@ -380,6 +390,7 @@
 const (
 	rateResolution = 1.0 / 8
 	waitResolution = 100 * time.Microsecond
+	partResolution = 1.0 / 64
 )
 
 func rounded(figure zf.ServiceRoom) zf.ServiceRoom {
@@ -387,6 +398,8 @@
 	figure.Demand = math.Round(figure.Demand/rateResolution) * rateResolution
 	figure.Own = math.Round(figure.Own/rateResolution) * rateResolution
 	figure.Wait = figure.Wait.Round(waitResolution)
+	figure.Answer = figure.Answer.Round(waitResolution)
+	figure.Rejected = math.Round(figure.Rejected/partResolution) * partResolution
 	return figure
 }
 
--- a/core/zfdeparture/table_test.go
+++ b/core/zfdeparture/table_test.go
@@ -451,6 +451,24 @@
 	}
 }
 
+// TestUnusableAnswers checks figures of answers that only a faulty control instance sends.
+func TestUnusableAnswers(t *testing.T) {
+	x := newExchange(price, 0.5)
+	for _, rejected := range []float64{math.NaN(), math.Inf(1), -1, 2} {
+		x.sites[0].table.Record("c1", []zf.ServiceRoom{{
+			Service:  orders,
+			Centre:   "c1",
+			Room:     1000,
+			Answer:   math.MinInt64,
+			Rejected: rejected,
+		}}, x.now)
+		rooms := x.sites[0].table.ServiceRooms(x.now)
+		zfassert.Equal(t, "rooms", len(rooms), 1)
+		zfassert.Equal(t, "share rejected", rooms[0].Rejected, 0.0)
+		zfassert.Equal(t, "time of an answer", rooms[0].Answer, time.Duration(0))
+	}
+}
+
 func TestForgottenCentre(t *testing.T) {
 	t.Run("the others leave for each other as fast as before", func(t *testing.T) {
 		shares := make([]float64, 0, 2)
--- a/core/zfroom/table.go
+++ b/core/zfroom/table.go
@@ -263,12 +263,17 @@
 	waits   float64
 	bytes   float64
 	answers float64
+	// rejected and busy are those of the loads.
+	rejected float64
+	busy     float64
 }
 
 func (s *sums) add(r *Row) {
 	s.room.Demand += r.Rate * s.trend
 	s.bytes += float64(r.load.Bytes)
 	s.answers += float64(r.load.Answers)
+	s.rejected += float64(r.load.Rejected)
+	s.busy += float64(r.load.Busy)
 	if !r.Usable {
 		return
 	}
@@ -279,6 +284,9 @@
 	s.waits += requests
 }
 
+// priorReplies is the number of answered requests below which rejected ones are chance.
+const priorReplies = 10
+
 // result returns the room with its means.
 func (s *sums) result() zf.ServiceRoom {
 	room := s.room
@@ -287,7 +295,9 @@
 	}
 	if s.answers > 0 {
 		room.Bytes = int(s.bytes / s.answers)
+		room.Answer = time.Duration(s.busy / s.answers)
 	}
+	room.Rejected = s.rejected / (s.answers + s.rejected + priorReplies)
 	return room
 }
 
--- a/core/zfroom/table_test.go
+++ b/core/zfroom/table_test.go
@@ -129,12 +129,16 @@
 	table := newTable(view("a", start), out, remote)
 	busy := load("a", 90, 20*time.Millisecond)
 	busy.Bytes = 90 * 600
+	busy.Rejected = 25
 	table.SetLoads([]zf.ServerLoad{busy}, start)
 	rooms := table.Rooms(start.Add(time.Second))
 	zfassert.Equal(t, "rooms", len(rooms), 2)
 	zfassert.Equal(t, "usable servers", rooms[0].Servers, 1)
 	zfassert.Equal(t, "demand", rooms[0].Demand, 30.0)
 	zfassert.Equal(t, "bytes", rooms[0].Bytes, 600)
+	zfassert.Equal(t, "time of an answer", rooms[0].Answer, 20*time.Millisecond)
+	zfassert.Equal(t, "share rejected", rooms[0].Rejected, 0.2)
+	zfassert.Equal(t, "no share rejected elsewhere", rooms[1].Rejected, 0.0)
 	zfassert.Equal(t, "age", rooms[0].Age, time.Second)
 	zfassert.Equal(t, "centre", rooms[1].Centre, zf.CentreName("two"))
 	zfassert.Equal(t, "demand elsewhere", rooms[1].Demand, 0.0)
--- a/io/zfcluster/departure_test.go
+++ b/io/zfcluster/departure_test.go
@@ -146,6 +146,7 @@
 					if n == 0 {
 						room.Servers, room.Room, room.Own = 30, 1234.5, 1100.25
 						room.Wait, room.Bytes = 12300*time.Microsecond, 4000
+						room.Answer, room.Rejected = 45600*time.Microsecond, 3.0/64
 					} else {
 						departure.To = append(departure.To, zf.CentreShare{
 							Centre: name,
--- a/value.go
+++ b/value.go
@@ -309,6 +309,10 @@
 	Own float64
 	// Wait is the expected wait of a request for a slot.
 	Wait time.Duration
+	// Answer is the mean time from a request to its answer, Rejected the share of the
+	// answered requests that were rejected.
+	Answer   time.Duration
+	Rejected float64
 	// Bytes is the mean size of an answer.
 	Bytes int
 	// Age is the time since the figures were measured.
