Raise a limit while requests show that backend servers have room

Cause: the share under a limit followed the learned room alone. If that was too small, a limit that overload had begun filled only that part of the backend servers and turned flows away without end, also after the overload. Change: requests answered within half the target prove room: those processed while some are rejected, else the demand and a little more, in small steps. The larger of both rooms counts; late or unobserved answers prove nothing.

--- a/core/zfadmission/limit.go
+++ b/core/zfadmission/limit.go
@@ -11,6 +11,14 @@
 	endWaitShare = 0.5
 	// minRejected is the share of rejected requests from which a service is overloaded.
 	minRejected = 0.05
+	// maxProbeRejected is the share of rejected requests up to which the proven room may be
+	// above the demand, by the factor probe. It grows by probeStep in a step, so that queues
+	// show in the figures in time. provenGain is the part of the way that it goes to what is
+	// processed while more requests are rejected.
+	maxProbeRejected = 0.01
+	probe            = 1.04
+	probeStep        = 1.01
+	provenGain       = 0.3
 	// usedShare is the share of the room that a limit fills. It is drainShare while
 	// requests wait for longer than callers bear, so that queues get shorter.
 	usedShare  = 0.97
@@ -47,6 +55,8 @@
 	openSince time.Time
 	history   history
 	lastStep  time.Time
+	// proven is the room that processed requests prove while the limit is in force, or 0.
+	proven float64
 
 	// reported, reportedShare and reportedAt are those of the last Change.
 	reported      bool
@@ -116,19 +126,38 @@
 	}
 }
 
+// prove updates the proven room. Requests that are answered in time and not rejected show
+// what backend servers can take even if the room was learned too small.
+func (r *row) prove(bound time.Duration) {
+	f := r.figures
+	processed := f.demand * (1 - f.rejected)
+	switch {
+	case f.answer <= 0 || f.answer > bound:
+		r.proven = 0
+	case f.rejected < maxProbeRejected:
+		r.proven = max(r.proven, min(f.demand*probe, max(f.room, r.proven)*probeStep))
+	case r.proven == 0:
+		r.proven = processed
+	default:
+		r.proven += (processed - r.proven) * provenGain
+	}
+}
+
 // adjust moves the share by one step towards the one that fills the room. The demand was
 // measured while earlier shares were in force, so the new share is relative to those:
 // this converges without oscillation although figures and limits travel for seconds.
 func (r *row) adjust(bound time.Duration, now time.Time) {
+	r.prove(bound)
+	room := max(r.figures.room, r.proven)
 	used := usedShare
-	if r.figures.wait > bound {
+	if r.figures.wait > bound && r.proven < r.figures.room {
 		used = drainShare
 	}
 	measured := now.Add(-r.figures.age - limitDelay)
 	earlier := r.history.mean(measured.Add(-measuringTime), measured)
-	wanted := earlier * used * r.figures.room / max(r.figures.demand, 1)
+	wanted := earlier * used * room / max(r.figures.demand, 1)
 	next := r.share + gain*(wanted-r.share)
-	if earlier == 1 || r.figures.demand < idleShare*r.figures.room {
+	if earlier == 1 || r.figures.demand < idleShare*room {
 		next = wanted // No noise or delay explains such a difference.
 	}
 	next = min(max(next, r.share*minDecrease), r.share*maxIncrease+minIncrease)
@@ -143,6 +172,7 @@
 	r.excessSince = time.Time{}
 	r.openSince = time.Time{}
 	r.backlog = 0
+	r.proven = 0
 	r.history = history{}
 }
 
