Keep shares numbers at waits too short to be expressed

Cause: backend servers with many slots and few requests have an expected wait below a nanosecond. The common wait was then 0, all shares 0 and, divided by the largest, not a number, for all data centres of the service: no backend server was a candidate, and each flow went to the last one of its ring. Change: such a group is shared by room, as one without requests. Result: TestManySlotsFewRequests failed before (share NaN) and passes.

--- a/core/zfroom/share.go
+++ b/core/zfroom/share.go
@@ -32,6 +32,9 @@
 		return
 	}
 	wait := g.commonWait(demand)
+	if wait == 0 {
+		return // All waits are too short to be expressed.
+	}
 	for _, row := range g {
 		target := row.rateAt(wait)
 		requests := target * zfload.DecayTime.Seconds()
--- a/core/zfroom/table_test.go
+++ b/core/zfroom/table_test.go
@@ -191,3 +191,14 @@
 	t.Logf("bytes of a row: %d", unsafe.Sizeof(zfroom.Row{}))
 	zfassert.AtMost(t, "bytes of a row", float64(unsafe.Sizeof(zfroom.Row{})), 256)
 }
+
+// TestManySlotsFewRequests replays so low a load that no wait can be expressed.
+func TestManySlotsFewRequests(t *testing.T) {
+	fast, slow := view("a", start), view("b", start)
+	fast.Slots, slow.Slots = 64, 64
+	table := newTable(fast, slow)
+	table.SetLoads([]zf.ServerLoad{load("a", 20, 20*time.Millisecond), load("b", 20, 60*time.Millisecond)}, start)
+	zfassert.Equal(t, "share of the fast one", serverRow(t, table, "a", start).Share, 1.0)
+	share := serverRow(t, table, "b", start).Share
+	zfassert.True(t, "share of the slow one", share >= 1.0/16 && share < 1)
+}
