Bound the loads from which room is learned

Cause: loads are messages of other instances and pass unchecked through the sums of control instances. Negative counts gave a negative demand, a very long time of one answer a service time of its service that stays for as long. Change: counts are bounded, and the time of an answer by a minute. Result: both cases of TestUnusableLoads failed before and pass.

--- a/core/zfroom/table.go
+++ b/core/zfroom/table.go
@@ -153,7 +153,7 @@
 	}
 	for _, load := range loads {
 		if row := t.rows[load.Cookie]; row != nil {
-			row.load = load
+			row.load = bounded(load)
 		}
 	}
 	for _, row := range t.rows {
@@ -167,6 +167,25 @@
 	t.updateTrends(now)
 }
 
+// Bounds of loads from other instances. Those beyond them are faulty; within them no sum and no
+// duration overflows.
+const (
+	maxRequests   = 1_000_000
+	maxAnswerTime = time.Minute
+)
+
+// bounded returns a load within the bounds.
+func bounded(load zf.ServerLoad) zf.ServerLoad {
+	load.Requests = boundedCount(load.Requests)
+	load.Answers = boundedCount(load.Answers)
+	load.Rejected = boundedCount(load.Rejected)
+	load.Busy = min(max(load.Busy, 0), time.Duration(load.Answers)*maxAnswerTime)
+	load.Bytes = max(load.Bytes, 0)
+	return load
+}
+
+func boundedCount(count int) int { return min(max(count, 0), maxRequests) }
+
 // estimate derives times, waits and shares from what was measured.
 func (t *Table) estimate() {
 	for _, row := range t.rows {
--- a/core/zfroom/table_test.go
+++ b/core/zfroom/table_test.go
@@ -1,6 +1,7 @@
 package zfroom_test
 
 import (
+	"math"
 	"testing"
 	"time"
 	"unsafe"
@@ -202,3 +203,48 @@
 	share := serverRow(t, table, "b", start).Share
 	zfassert.True(t, "share of the slow one", share >= 1.0/16 && share < 1)
 }
+
+// TestUnusableLoads checks loads that only a faulty instance sends.
+func TestUnusableLoads(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load zf.ServerLoad
+	}{
+		{
+			name: "negative",
+			load: zf.ServerLoad{
+				Requests: -90,
+				Answers:  -2,
+				Rejected: -90,
+				Busy:     -time.Hour,
+				Bytes:    -1,
+			},
+		},
+		{
+			name: "longest answers",
+			load: zf.ServerLoad{
+				Requests: 90,
+				Answers:  1,
+				Busy:     math.MaxInt64,
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(view("a", start), view("b", start))
+			c.load.Cookie = zfcookie.CookieOf("a", start)
+			for range 100 {
+				table.SetLoads([]zf.ServerLoad{c.load}, start)
+			}
+			room := table.Rooms(start)[0]
+			zfassert.True(t, "room", room.Room > 0 && room.Room < 1000)
+			zfassert.True(t, "demand", room.Demand >= 0)
+			zfassert.True(t, "wait", room.Wait >= 0 && room.Wait < time.Hour)
+			zfassert.True(t, "share rejected", room.Rejected >= 0)
+			for _, name := range []zf.ServerName{"a", "b"} {
+				row := serverRow(t, table, name, start)
+				assertBetween(t, "service time", row.Time, 0, time.Hour)
+				zfassert.True(t, "share", row.Share > 0 && row.Share <= 1)
+			}
+		})
+	}
+}
