Find the row of a caller behind a free one

Cause: the search for a caller's row ended at the first free row. Rows are removed in any order, so that a caller whose row was behind a removed one was counted afresh: its openings and refusals were forgotten. Change: all rows of the set are searched; a free one counts as the one with fewest openings.

--- a/core/zfadmission/caller.go
+++ b/core/zfadmission/caller.go
@@ -73,10 +73,6 @@
 			r.decay(now)
 			return r
 		}
-		if r.class == nil {
-			least = r
-			break
-		}
 		r.decay(now)
 		if r.openings < least.openings {
 			least = r
--- a/core/zfadmission/callers_test.go
+++ b/core/zfadmission/callers_test.go
@@ -96,6 +96,29 @@
 	zfassert.AtMost(t, "retries as a share of the admitted flows", retriesAdmitted/admitted, 0.15)
 }
 
+// TestFreedRows replays retries of callers after rows of others were removed.
+func TestFreedRows(t *testing.T) {
+	callers := limited(0.1)
+	random := rand.New(rand.NewPCG(11, 12))
+	const others, busy = 2000, 100
+	send := func(from, count, openings int, now time.Time) (refused int64) {
+		for i := range count * openings {
+			if !callers.Admit(opening(from+i/openings, random.Uint64(), 0), now) {
+				refused++
+			}
+		}
+		return refused
+	}
+	send(0, others, 1, start)
+	send(others, busy, 20, start)
+	retried := callers.Counts()[0].Retried
+	refused := send(others, busy, 1, start.Add(8900*time.Millisecond))
+	callers.Tick(start.Add(9100*time.Millisecond), limits(0.1))
+	send(others, busy, 1, start.Add(9200*time.Millisecond))
+	zfassert.True(t, "some are refused", refused > 0)
+	zfassert.Equal(t, "retries", callers.Counts()[0].Retried-retried, refused)
+}
+
 func TestLimitMessages(t *testing.T) {
 	callers := limited(0.2)
 	t.Run("a limit that comes twice changes nothing", func(t *testing.T) {
