Report the end of limits after a suspension

Cause: a control instance that had been suspended for 5 s forgot its limits without a change, so that the last event and the metric of the share told of a limit that had ended. Change: the limits end as others do before they are forgotten. Result: TestSuspension failed before (no change) and passes.

--- a/core/zfadmission/table.go
+++ b/core/zfadmission/table.go
@@ -70,7 +70,7 @@
 	}
 	t.lastStep = now
 	if passed >= maxStepGap {
-		clear(t.rows)
+		t.endAll(now)
 	}
 	bounds := waitBounds(input.Routes)
 	figures := t.sumRooms(input)
@@ -102,6 +102,15 @@
 	}
 }
 
+// endAll ends all limits.
+func (t *Table) endAll(now time.Time) {
+	for service, r := range t.rows {
+		r.end()
+		t.recordChange(service, r, 0, now)
+	}
+	clear(t.rows)
+}
+
 // Limits returns the limits in force, by service. A service whose demand exceeds its room
 // has one with share 1, so that entry instances know its callers when it is needed.
 func (t *Table) Limits() []zf.AdmissionLimit {
--- a/core/zfadmission/table_test.go
+++ b/core/zfadmission/table_test.go
@@ -289,6 +289,18 @@
 	return table.Limits()
 }
 
+func TestSuspension(t *testing.T) {
+	hot := newKind("orders", 100, constant(800))
+	d := newDeployment(hot).run(length)
+	last := d.changes[len(d.changes)-1]
+	zfassert.True(t, "a limit is in force", last.Share < 1)
+	d.table.Tick(start.Add(length+10*time.Second), zfadmission.Input{})
+	zfassert.Equal(t, "limits", len(d.table.Limits()), 0)
+	changes := d.table.TakeChanges()
+	zfassert.Equal(t, "changes", len(changes), 1)
+	zfassert.Equal(t, "share", changes[0].Share, 1.0)
+}
+
 func TestUnevenInstances(t *testing.T) {
 	k := newKind("orders", 200, constant(1200))
 	d := newDeployment(k)
