Discount short requests in the sign of overload

Cause: the answer to a request that takes less than an eighth of the time of others seems rejected. A service with many such requests seemed overloaded at all times, and its room too small, as only the long ones are timed. Change: the share that seems rejected while the demand is within the room is usual, learned over 30 s, and is discounted. Result: TestShortRequests failed before in the case without more rejections; with more the limit begins. A control instance that has just started knows no usual share yet.

--- a/core/zfadmission/table.go
+++ b/core/zfadmission/table.go
@@ -29,6 +29,9 @@
 	rows     map[zf.ServiceName]*row
 	lastStep time.Time
 	changes  []Change
+	// usual is the share of requests that seem rejected while a service has room: those
+	// that take much less time than others.
+	usual map[zf.ServiceName]float64
 }
 
 // New returns the table of a control instance in a data centre.
@@ -36,6 +39,7 @@
 	return &Table{
 		centre: centre,
 		rows:   make(map[zf.ServiceName]*row),
+		usual:  make(map[zf.ServiceName]float64),
 	}
 }
 
@@ -80,6 +84,7 @@
 			continue
 		}
 		r := t.rows[service]
+		f.rejected = t.unusual(service, f, r != nil && r.limited)
 		if r == nil {
 			if f.demand <= f.room {
 				continue
@@ -90,6 +95,11 @@
 		r.step(f, bound, now)
 		t.recordChange(service, r, bound, now)
 	}
+	for service := range t.usual {
+		if _, bounded := bounds[service]; !bounded {
+			delete(t.usual, service)
+		}
+	}
 	for service, r := range t.rows {
 		_, known := figures[service]
 		if _, bounded := bounds[service]; !known || !bounded {
@@ -102,6 +112,26 @@
 	}
 }
 
+const (
+	// usualTime is the time constant of the usual share of requests that seem rejected:
+	// overload that the demand doesn't show yet must not seem usual.
+	usualTime = 30 * time.Second
+	// maxUsual is the upper bound of that share.
+	maxUsual = 0.9
+)
+
+// unusual returns the rejected share of the requests that are not usually rejected. It learns
+// that share while the service has room.
+func (t *Table) unusual(service zf.ServiceName, f figures, limited bool) float64 {
+	usual := t.usual[service]
+	if !limited && f.demand <= f.room {
+		usual += (f.rejected - usual) * float64(stepInterval) / float64(usualTime)
+		usual = min(usual, maxUsual)
+		t.usual[service] = usual
+	}
+	return max(f.rejected-usual, 0) / (1 - usual)
+}
+
 // endAll ends all limits.
 func (t *Table) endAll(now time.Time) {
 	for service, r := range t.rows {
--- a/core/zfadmission/table_test.go
+++ b/core/zfadmission/table_test.go
@@ -274,19 +274,56 @@
 func limitsAfter(rooms []zf.ServiceRoom, target time.Duration, out ...zf.CentreName) []zf.AdmissionLimit {
 	table := zfadmission.New("one")
 	for at := time.Duration(0); at < 5*time.Second; at += 50 * time.Millisecond {
-		table.Tick(start.Add(at), zfadmission.Input{
-			Rooms: rooms,
-			Out:   out,
-			Routes: []zfbundle.Route{{
-				Target: target,
-				Targets: []zf.RouteTarget{{
-					Service: "orders",
-					Weight:  1,
-				}},
+		tickTable(table, at, rooms, target, out...)
+	}
+	return table.Limits()
+}
+
+// tickTable ticks a table with one route.
+func tickTable(table *zfadmission.Table, at time.Duration, rooms []zf.ServiceRoom, target time.Duration, out ...zf.CentreName) {
+	table.Tick(start.Add(at), zfadmission.Input{
+		Rooms: rooms,
+		Out:   out,
+		Routes: []zfbundle.Route{{
+			Target: target,
+			Targets: []zf.RouteTarget{{
+				Service: "orders",
+				Weight:  1,
 			}},
+		}},
+	})
+}
+
+// TestShortRequests replays a service some of whose requests are so short that their answers
+// seem rejected. The others make its room seem smaller than it is.
+func TestShortRequests(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		rejected float64
+		limited  bool
+	}{
+		{
+			name:     "as many as before",
+			rejected: 0.5,
+		},
+		{
+			name:     "rejected ones besides",
+			rejected: 0.8,
+			limited:  true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := zfadmission.New("one")
+			for at := time.Duration(0); at < 3*time.Minute; at += 50 * time.Millisecond {
+				now := room("one", 100, 60)
+				if at >= 170*time.Second {
+					now.Demand, now.Rejected = 160, c.rejected
+				}
+				tickTable(table, at, []zf.ServiceRoom{now}, target)
+			}
+			zfassert.Equal(t, "limited", table.Limits()[0].Share < 1, c.limited)
 		})
 	}
-	return table.Limits()
 }
 
 func TestSuspension(t *testing.T) {
