--- a/core/zfadmission/limit.go
+++ b/core/zfadmission/limit.go
@@ -9,6 +9,16 @@
 	// endWaitShare of its bound, before a limit ends.
 	endTime      = time.Second
 	endWaitShare = 0.5
+	// minRejected is the share of rejected requests from which a service is overloaded.
+	minRejected = 0.05
+	// maxProbeRejected is the share of rejected requests up to which the proven room may be
+	// above the demand, by the factor probe. It grows by probeStep in a step, so that queues
+	// show in the figures in time. provenGain is the part of the way that it goes to what is
+	// processed while more requests are rejected.
+	maxProbeRejected = 0.01
+	probe            = 1.04
+	probeStep        = 1.01
+	provenGain       = 0.3
 	// usedShare is the share of the room that a limit fills. It is drainShare while
 	// requests wait for longer than callers bear, so that queues get shorter.
 	usedShare  = 0.97
@@ -33,7 +43,8 @@
 // row is the state of one service.
 type row struct {
 	figures figures
-	// excessSince is since when the demand has exceeded the room, or the zero value.
+	// excessSince is since when the demand has exceeded the room of an overloaded service,
+	// the time of the last step if the service isn't overloaded, or the zero value.
 	// backlog is the time that working off the excess would take.
 	excessSince time.Time
 	backlog     time.Duration
@@ -44,6 +55,8 @@
 	openSince time.Time
 	history   history
 	lastStep  time.Time
+	// proven is the room that processed requests prove while the limit is in force, or 0.
+	proven float64
 
 	// reported, reportedShare and reportedAt are those of the last Change.
 	reported      bool
@@ -85,16 +98,24 @@
 	}
 }
 
-// watch begins the limit once the demand has exceeded the room for onsetTime and the
-// expected wait is beyond its bound.
+// overloaded reports whether callers notice that the service lacks room: requests are rejected
+// or answered after their target. The room is an estimate, and one that is too low would
+// turn flows away that backend servers have room for.
+func (f *figures) overloaded(bound time.Duration) bool {
+	return f.rejected >= minRejected || f.answer > time.Duration(float64(bound)/waitShare)
+}
+
+// watch begins the limit once the demand has exceeded the room of an overloaded service for
+// onsetTime and the expected wait is beyond its bound.
 func (r *row) watch(bound, passed time.Duration, now time.Time) {
 	f := r.figures
 	if f.demand <= f.room {
 		r.end()
 		return
 	}
-	if r.excessSince.IsZero() {
+	if r.excessSince.IsZero() || !f.overloaded(bound) {
 		r.excessSince = now
+		r.backlog = 0
 	} else {
 		r.backlog += time.Duration(float64(passed) * (f.demand/f.room - 1))
 	}
@@ -105,19 +126,38 @@
 	}
 }
 
+// prove updates the proven room. Requests that are answered in time and not rejected show
+// what backend servers can take even if the room was learned too small.
+func (r *row) prove(bound time.Duration) {
+	f := r.figures
+	processed := f.demand * (1 - f.rejected)
+	switch {
+	case f.answer <= 0 || f.answer > bound:
+		r.proven = 0
+	case f.rejected < maxProbeRejected:
+		r.proven = max(r.proven, min(f.demand*probe, max(f.room, r.proven)*probeStep))
+	case r.proven == 0:
+		r.proven = processed
+	default:
+		r.proven += (processed - r.proven) * provenGain
+	}
+}
+
 // adjust moves the share by one step towards the one that fills the room. The demand was
 // measured while earlier shares were in force, so the new share is relative to those:
 // this converges without oscillation although figures and limits travel for seconds.
 func (r *row) adjust(bound time.Duration, now time.Time) {
+	r.prove(bound)
+	room := max(r.figures.room, r.proven)
 	used := usedShare
-	if r.figures.wait > bound {
+	if r.figures.wait > bound && r.proven < r.figures.room {
 		used = drainShare
 	}
 	measured := now.Add(-r.figures.age - limitDelay)
 	earlier := r.history.mean(measured.Add(-measuringTime), measured)
-	wanted := earlier * used * r.figures.room / max(r.figures.demand, 1)
+	wanted := earlier * used * room / max(r.figures.demand, 1)
 	next := r.share + gain*(wanted-r.share)
-	if earlier == 1 || r.figures.demand < idleShare*r.figures.room {
+	if earlier == 1 || r.figures.demand < idleShare*room {
 		next = wanted // No noise or delay explains such a difference.
 	}
 	next = min(max(next, r.share*minDecrease), r.share*maxIncrease+minIncrease)
@@ -132,6 +172,7 @@
 	r.excessSince = time.Time{}
 	r.openSince = time.Time{}
 	r.backlog = 0
+	r.proven = 0
 	r.history = history{}
 }
 
--- a/core/zfadmission/load_test.go
+++ b/core/zfadmission/load_test.go
@@ -61,19 +61,24 @@
 
 // pool is a queue model of the backend servers of a service.
 type pool struct {
-	// room is in requests a second, longest the wait from which requests are refused.
+	// room is in requests a second, learned the part of it that is learned from answers,
+	// longest the wait from which requests are refused.
 	room    float64
+	learned float64
 	longest time.Duration
 	queue   time.Duration
 	// arrivals are those since the last measurement, measured and measuredWait its results,
-	// demand and wait those that have arrived at the control instance.
-	arrivals     float64
-	measured     float64
-	measuredWait time.Duration
-	demand       float64
-	wait         time.Duration
-	measuredAt   time.Time
-	served       float64
+	// demand, wait and rejected those that have arrived at the control instance.
+	arrivals         float64
+	refused          float64
+	measured         float64
+	measuredWait     time.Duration
+	measuredRejected float64
+	demand           float64
+	wait             time.Duration
+	rejected         float64
+	measuredAt       time.Time
+	served           float64
 }
 
 // deployment plays a load with the admission of one data centre.
@@ -110,6 +115,7 @@
 	for _, k := range kinds {
 		d.pools[k.service] = &pool{
 			room:    400,
+			learned: 1,
 			longest: 4 * service,
 		}
 	}
@@ -149,10 +155,12 @@
 		for _, p := range d.pools {
 			p.queue = max(p.queue-tick, 0)
 			if at%time.Second == 0 {
-				p.measured, p.arrivals, p.measuredWait = p.arrivals, 0, p.queue
+				p.measuredRejected = p.refused / max(p.arrivals, 1)
+				p.measured, p.arrivals, p.refused, p.measuredWait = p.arrivals, 0, 0, p.queue
 			}
 			if at%time.Second == sumDelay && !d.stale(at) {
 				p.demand, p.wait, p.measuredAt = p.measured, p.measuredWait, now.Add(-sumDelay)
+				p.rejected = p.measuredRejected
 			}
 		}
 		d.table.Tick(now, zfadmission.Input{
@@ -176,17 +184,28 @@
 	var rooms []zf.ServiceRoom
 	for name, p := range d.pools {
 		rooms = append(rooms, zf.ServiceRoom{
-			Service: name,
-			Centre:  "one",
-			Room:    p.room,
-			Demand:  p.demand,
-			Wait:    p.wait,
-			Age:     now.Sub(p.measuredAt),
+			Service:  name,
+			Centre:   "one",
+			Room:     p.room * p.learned,
+			Demand:   p.demand,
+			Wait:     p.expectedWait(),
+			Answer:   p.wait + service,
+			Rejected: p.rejected,
+			Age:      now.Sub(p.measuredAt),
 		})
 	}
 	return rooms
 }
 
+// expectedWait returns the wait or, if the room was learned too small, the one that would
+// follow from that.
+func (p *pool) expectedWait() time.Duration {
+	if p.learned < 1 && p.demand > p.room*p.learned {
+		return 10 * time.Second
+	}
+	return p.wait
+}
+
 // sendRequests sends the requests of one kind in one tick.
 func (d *deployment) sendRequests(k *kind, at time.Duration, now time.Time) {
 	for sent := d.poisson(k.rate(at) * tick.Seconds()); sent > 0; sent-- {
@@ -230,6 +249,7 @@
 			p.served++
 			return p.queue+service <= target, true
 		}
+		p.refused++
 	}
 	return false, admitted
 }
--- a/core/zfadmission/table_test.go
+++ b/core/zfadmission/table_test.go
@@ -186,11 +186,87 @@
 
 func room(centre zf.CentreName, room, demand float64) zf.ServiceRoom {
 	return zf.ServiceRoom{
-		Service: "orders",
-		Centre:  centre,
-		Room:    room,
-		Demand:  demand,
-		Wait:    time.Second,
+		Service:  "orders",
+		Centre:   centre,
+		Room:     room,
+		Demand:   demand,
+		Wait:     time.Second,
+		Rejected: 0.5,
+	}
+}
+
+// TestRoomTooSmall replays a room that was learned too small: waits and demand seem to exceed
+// what callers bear, while they get their answers.
+func TestRoomTooSmall(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		answer   time.Duration
+		rejected float64
+		want     float64
+	}{
+		{
+			name:   "answers in time",
+			answer: 100 * time.Millisecond,
+			want:   1,
+		},
+		{
+			name:   "long requests within the target",
+			answer: target - time.Millisecond,
+			want:   1,
+		},
+		{
+			name:     "few answers that seem rejected",
+			answer:   100 * time.Millisecond,
+			rejected: 0.02,
+			want:     1,
+		},
+		{
+			name: "no answers observed",
+			want: 1,
+		},
+		{
+			name:   "answers later than the target",
+			answer: 2 * target,
+			want:   0.5,
+		},
+		{
+			name:     "rejected requests",
+			answer:   100 * time.Millisecond,
+			rejected: 0.6,
+			want:     0.5,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			small := room("one", 100, 300)
+			small.Answer, small.Rejected = c.answer, c.rejected
+			for _, limit := range limitsAfter([]zf.ServiceRoom{small}, target) {
+				zfassert.AtMost(t, "share", limit.Share, c.want)
+				zfassert.True(t, "share is 1 without overload", c.want < 1 || limit.Share == 1)
+			}
+			zfassert.Equal(t, "limits", len(limitsAfter([]zf.ServiceRoom{small}, target)), 1)
+		})
+	}
+}
+
+// TestLimitByRoomTooSmall replays overload of a service whose room was learned too small.
+func TestLimitByRoomTooSmall(t *testing.T) {
+	for _, learned := range []float64{0.3, 0.6, 0.9} {
+		t.Run(fmt.Sprintf("%g of the room, overload that lasts", learned), func(t *testing.T) {
+			hot := newKind("orders", 200, constant(800))
+			d := newDeployment(hot)
+			d.pools["orders"].learned = learned
+			d.settled = 20 * time.Second
+			d.run(length)
+			assertAtLeast(t, "share of the room that serves in time", hot.inTime/20/400, 0.9)
+		})
+		t.Run(fmt.Sprintf("%g of the room, overload that ended 13 s ago", learned), func(t *testing.T) {
+			k := newKind("orders", 100, raised(300, 3, 5*time.Second, 15*time.Second))
+			d := newDeployment(k)
+			d.pools["orders"].learned = learned
+			d.settled = 28 * time.Second
+			d.run(length)
+			zfassert.Equal(t, "requests turned away", k.turnedAway, 0.0)
+		})
 	}
 }
 
@@ -198,19 +274,68 @@
 func limitsAfter(rooms []zf.ServiceRoom, target time.Duration, out ...zf.CentreName) []zf.AdmissionLimit {
 	table := zfadmission.New("one")
 	for at := time.Duration(0); at < 5*time.Second; at += 50 * time.Millisecond {
-		table.Tick(start.Add(at), zfadmission.Input{
-			Rooms: rooms,
-			Out:   out,
-			Routes: []zfbundle.Route{{
-				Target: target,
-				Targets: []zf.RouteTarget{{
-					Service: "orders",
-					Weight:  1,
-				}},
+		tickTable(table, at, rooms, target, out...)
+	}
+	return table.Limits()
+}
+
+// tickTable ticks a table with one route.
+func tickTable(table *zfadmission.Table, at time.Duration, rooms []zf.ServiceRoom, target time.Duration, out ...zf.CentreName) {
+	table.Tick(start.Add(at), zfadmission.Input{
+		Rooms: rooms,
+		Out:   out,
+		Routes: []zfbundle.Route{{
+			Target: target,
+			Targets: []zf.RouteTarget{{
+				Service: "orders",
+				Weight:  1,
 			}},
+		}},
+	})
+}
+
+// TestShortRequests replays a service some of whose requests are so short that their answers
+// seem rejected. The others make its room seem smaller than it is.
+func TestShortRequests(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		rejected float64
+		limited  bool
+	}{
+		{
+			name:     "as many as before",
+			rejected: 0.5,
+		},
+		{
+			name:     "rejected ones besides",
+			rejected: 0.8,
+			limited:  true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := zfadmission.New("one")
+			for at := time.Duration(0); at < 3*time.Minute; at += 50 * time.Millisecond {
+				now := room("one", 100, 60)
+				if at >= 170*time.Second {
+					now.Demand, now.Rejected = 160, c.rejected
+				}
+				tickTable(table, at, []zf.ServiceRoom{now}, target)
+			}
+			zfassert.Equal(t, "limited", table.Limits()[0].Share < 1, c.limited)
 		})
 	}
-	return table.Limits()
+}
+
+func TestSuspension(t *testing.T) {
+	hot := newKind("orders", 100, constant(800))
+	d := newDeployment(hot).run(length)
+	last := d.changes[len(d.changes)-1]
+	zfassert.True(t, "a limit is in force", last.Share < 1)
+	d.table.Tick(start.Add(length+10*time.Second), zfadmission.Input{})
+	zfassert.Equal(t, "limits", len(d.table.Limits()), 0)
+	changes := d.table.TakeChanges()
+	zfassert.Equal(t, "changes", len(changes), 1)
+	zfassert.Equal(t, "share", changes[0].Share, 1.0)
 }
 
 func TestUnevenInstances(t *testing.T) {
--- a/core/zfroom/table.go
+++ b/core/zfroom/table.go
@@ -153,7 +153,7 @@
 	}
 	for _, load := range loads {
 		if row := t.rows[load.Cookie]; row != nil {
-			row.load = load
+			row.load = bounded(load)
 		}
 	}
 	for _, row := range t.rows {
@@ -167,6 +167,25 @@
 	t.updateTrends(now)
 }
 
+// Bounds of loads from other instances. Those beyond them are faulty; within them no sum and no
+// duration overflows.
+const (
+	maxRequests   = 1_000_000
+	maxAnswerTime = time.Minute
+)
+
+// bounded returns a load within the bounds.
+func bounded(load zf.ServerLoad) zf.ServerLoad {
+	load.Requests = boundedCount(load.Requests)
+	load.Answers = boundedCount(load.Answers)
+	load.Rejected = boundedCount(load.Rejected)
+	load.Busy = min(max(load.Busy, 0), time.Duration(load.Answers)*maxAnswerTime)
+	load.Bytes = max(load.Bytes, 0)
+	return load
+}
+
+func boundedCount(count int) int { return min(max(count, 0), maxRequests) }
+
 // estimate derives times, waits and shares from what was measured.
 func (t *Table) estimate() {
 	for _, row := range t.rows {
@@ -263,12 +282,17 @@
 	waits   float64
 	bytes   float64
 	answers float64
+	// rejected and busy are those of the loads.
+	rejected float64
+	busy     float64
 }
 
 func (s *sums) add(r *Row) {
 	s.room.Demand += r.Rate * s.trend
 	s.bytes += float64(r.load.Bytes)
 	s.answers += float64(r.load.Answers)
+	s.rejected += float64(r.load.Rejected)
+	s.busy += float64(r.load.Busy)
 	if !r.Usable {
 		return
 	}
@@ -279,6 +303,9 @@
 	s.waits += requests
 }
 
+// priorReplies is the number of answered requests below which rejected ones are chance.
+const priorReplies = 10
+
 // result returns the room with its means.
 func (s *sums) result() zf.ServiceRoom {
 	room := s.room
@@ -287,7 +314,9 @@
 	}
 	if s.answers > 0 {
 		room.Bytes = int(s.bytes / s.answers)
+		room.Answer = time.Duration(s.busy / s.answers)
 	}
+	room.Rejected = s.rejected / (s.answers + s.rejected + priorReplies)
 	return room
 }
 
--- a/core/zfroom/table_test.go
+++ b/core/zfroom/table_test.go
@@ -1,6 +1,7 @@
 package zfroom_test
 
 import (
+	"math"
 	"testing"
 	"time"
 	"unsafe"
@@ -129,12 +130,16 @@
 	table := newTable(view("a", start), out, remote)
 	busy := load("a", 90, 20*time.Millisecond)
 	busy.Bytes = 90 * 600
+	busy.Rejected = 25
 	table.SetLoads([]zf.ServerLoad{busy}, start)
 	rooms := table.Rooms(start.Add(time.Second))
 	zfassert.Equal(t, "rooms", len(rooms), 2)
 	zfassert.Equal(t, "usable servers", rooms[0].Servers, 1)
 	zfassert.Equal(t, "demand", rooms[0].Demand, 30.0)
 	zfassert.Equal(t, "bytes", rooms[0].Bytes, 600)
+	zfassert.Equal(t, "time of an answer", rooms[0].Answer, 20*time.Millisecond)
+	zfassert.Equal(t, "share rejected", rooms[0].Rejected, 0.2)
+	zfassert.Equal(t, "no share rejected elsewhere", rooms[1].Rejected, 0.0)
 	zfassert.Equal(t, "age", rooms[0].Age, time.Second)
 	zfassert.Equal(t, "centre", rooms[1].Centre, zf.CentreName("two"))
 	zfassert.Equal(t, "demand elsewhere", rooms[1].Demand, 0.0)
@@ -187,3 +192,59 @@
 	t.Logf("bytes of a row: %d", unsafe.Sizeof(zfroom.Row{}))
 	zfassert.AtMost(t, "bytes of a row", float64(unsafe.Sizeof(zfroom.Row{})), 256)
 }
+
+// TestManySlotsFewRequests replays so low a load that no wait can be expressed.
+func TestManySlotsFewRequests(t *testing.T) {
+	fast, slow := view("a", start), view("b", start)
+	fast.Slots, slow.Slots = 64, 64
+	table := newTable(fast, slow)
+	table.SetLoads([]zf.ServerLoad{load("a", 20, 20*time.Millisecond), load("b", 20, 60*time.Millisecond)}, start)
+	zfassert.Equal(t, "share of the fast one", serverRow(t, table, "a", start).Share, 1.0)
+	share := serverRow(t, table, "b", start).Share
+	zfassert.True(t, "share of the slow one", share >= 1.0/16 && share < 1)
+}
+
+// TestUnusableLoads checks loads that only a faulty instance sends.
+func TestUnusableLoads(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load zf.ServerLoad
+	}{
+		{
+			name: "negative",
+			load: zf.ServerLoad{
+				Requests: -90,
+				Answers:  -2,
+				Rejected: -90,
+				Busy:     -time.Hour,
+				Bytes:    -1,
+			},
+		},
+		{
+			name: "longest answers",
+			load: zf.ServerLoad{
+				Requests: 90,
+				Answers:  1,
+				Busy:     math.MaxInt64,
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(view("a", start), view("b", start))
+			c.load.Cookie = zfcookie.CookieOf("a", start)
+			for range 100 {
+				table.SetLoads([]zf.ServerLoad{c.load}, start)
+			}
+			room := table.Rooms(start)[0]
+			zfassert.True(t, "room", room.Room > 0 && room.Room < 1000)
+			zfassert.True(t, "demand", room.Demand >= 0)
+			zfassert.True(t, "wait", room.Wait >= 0 && room.Wait < time.Hour)
+			zfassert.True(t, "share rejected", room.Rejected >= 0)
+			for _, name := range []zf.ServerName{"a", "b"} {
+				row := serverRow(t, table, name, start)
+				assertBetween(t, "service time", row.Time, 0, time.Hour)
+				zfassert.True(t, "share", row.Share > 0 && row.Share <= 1)
+			}
+		})
+	}
+}
