Count no receiver's misses as certain while another instance is silent

Cause: a control instance that received the heartbeats before and is cut off from the one that does now still holds itself for the receiver. It counted its own misses as certain, so that its entry instances could reset flows of a backend server that lives.

Change: a receiver's own misses are inferred like those of another one, until all other control instances have reported for long enough. Only where none has ever reported are they certain at once. Others keep the receiver's inferred lateness until a report about the row, not until its next report of any kind: it would have been lost for good there.

The new TestReceiverBesideSilentInstance fails without either half. What it costs: while a control instance is silent (20 s if it has ended, until the leader leaves it out), callers of a backend server that dies wait until their deadlines. No trial with real processes was run.

--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -193,8 +193,9 @@
 // ended reports whether the backend server has certainly ended.
 func (s *server) ended(now time.Time) bool { return !s.endsAt.IsZero() && !now.Before(s.endsAt) }
 
-// missesHeartbeats reports whether the instance that receives the backend server's heartbeats
-// misses them. Where it is silent itself, that is no evidence about the backend server.
+// missesHeartbeats reports whether the backend server's heartbeats are certainly overdue.
+// Where a control instance that may receive them is silent itself, that is no evidence about the
+// backend server.
 func (s *server) missesHeartbeats() bool { return s.Late && !s.Inferred }
 
 // New returns a mapper without routes and backend servers.
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -70,7 +70,7 @@
 		since = reachableSince
 	}
 	silent := now.Sub(since)
-	if receivedElsewhere && silent >= t.config.LateTimeout {
+	if silent >= t.config.LateTimeout {
 		t.updateInference(row, now)
 	}
 	switch {
@@ -85,15 +85,18 @@
 	}
 }
 
-// updateInference records whether the lateness of a row whose receiver doesn't report is
-// inferred. It is certain once all other control instances have reported for so long that a
-// heartbeat at any of them would be known here.
+// updateInference records whether the lateness of a row is inferred: the heartbeats may go to
+// another control instance. It is certain once all other control instances have reported for so
+// long that a heartbeat at any of them would be known here. The heartbeat receiver's own
+// misses are certain as well where no other instance has ever reported.
 func (t *Table) updateInference(row *Row, now time.Time) {
-	certain := !t.reportingSince.IsZero() && now.Sub(t.reportingSince) >= t.config.LateTimeout+t.config.ReportGrace
+	certain := !t.reportingSince.IsZero() && now.Sub(t.reportingSince) >= t.config.LateTimeout+t.config.ReportGrace ||
+		row.receiver == t.config.Self && !t.othersReport
 	if certain != row.Inferred() {
 		return
 	}
 	row.inferredAt = time.Time{}
+	row.inferredThere = false
 	if !certain {
 		row.inferredAt = now
 	}
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -12,8 +12,8 @@
 	Status zf.ServerState
 	Proven bool
 	Late   bool
-	// Inferred is set if the sender inferred Late from missing reports of the instance that
-	// receives the heartbeats.
+	// Inferred is set if the sender inferred Late while reports of another instance were
+	// missing, which may receive the heartbeats.
 	Inferred bool
 	// Age is the time since the last heartbeat.
 	Age time.Duration
@@ -132,6 +132,7 @@
 func (t *Table) Merge(changes Changes, now time.Time) {
 	if changes.From != 0 {
 		t.lastReport[changes.From] = now
+		t.othersReport = true
 	}
 	for i := range changes.Updates {
 		t.merge(&changes.Updates[i], changes.From, now)
@@ -229,7 +230,10 @@
 	changed := u.Late != row.Late || u.Inferred != row.Inferred()
 	row.setLate(u.Late)
 	loaded := from == 0 && !t.config.Subscriber // From disk; heartbeats may have come since.
-	if u.Inferred || loaded && u.Late {
+	switch {
+	case u.Inferred && u.Heard && !t.config.Subscriber:
+		row.inferredThere = true
+	case u.Inferred || loaded && u.Late:
 		row.inferredAt = now
 	}
 	if changed {
--- a/core/zfregistry/lateness_test.go
+++ b/core/zfregistry/lateness_test.go
@@ -25,6 +25,54 @@
 	zfassert.True(t, "not late by missed heartbeats", !view.Late || view.Inferred)
 }
 
+// TestReceiverBesideSilentInstance guards against a dead backend server that others take for alive, or
+// that is never known to be dead, since an instance beside its heartbeat receiver was silent. Its
+// cases build on each other.
+func TestReceiverBesideSilentInstance(t *testing.T) {
+	receiver, silent, control := newTable(), newTableOf(other), newTableOf(third)
+	receiver.Merge(silent.Since(0, true, start), start)
+	receiver.Announce(heartbeat("a", born, 1), start)
+	now := start
+	var cursor uint64
+	run := func(intervals int) {
+		for end := now.Add(time.Duration(intervals) * interval); now.Before(end); now = now.Add(interval / 4) {
+			receiver.Tick(now, start)
+			changes := receiver.Since(cursor, true, now)
+			cursor = changes.Cursor
+			control.Merge(changes, now)
+			control.Tick(now, start)
+		}
+	}
+	for _, c := range []struct {
+		name      string
+		reporting time.Time
+		inferred  bool
+	}{
+		{
+			name:     "while that one is silent",
+			inferred: true,
+		},
+		{
+			name:      "once all have reported for long enough",
+			reporting: start.Add(interval),
+		},
+		{
+			name:     "once one is silent again",
+			inferred: true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			receiver.SetReportingSince(c.reporting)
+			run(5)
+			for name, table := range map[string]*zfregistry.Table{"receiver": receiver, "another instance": control} {
+				view := table.View(nil)[0]
+				zfassert.True(t, name+": late", view.Late)
+				zfassert.Equal(t, name+": inferred", view.Inferred, c.inferred)
+			}
+		})
+	}
+}
+
 // TestOldLatenessOfSilentReceiver guards against resets by the last word of a heartbeat receiver that
 // was cut off since, while the heartbeats came in again there.
 func TestOldLatenessOfSilentReceiver(t *testing.T) {
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -111,10 +111,13 @@
 	// Late is set if a heartbeat is overdue, not counting the time in which none
 	// could be received.
 	Late bool
-	// inferredAt is when Late was inferred from missing reports of the heartbeat receiver,
-	// which may still receive the heartbeats, or when a subscriber was told so; otherwise
+	// inferredAt is when Late was inferred because reports of other instances are missing,
+	// which may receive the heartbeats, or when a subscriber was told so; otherwise
 	// the zero value.
 	inferredAt time.Time
+	// inferredThere is set if the heartbeat receiver reported Late as inferred. Only a
+	// report about the row ends that.
+	inferredThere bool
 	// SuspectUntil is until when the backend server should receive no new flows,
 	// as it leaves requests unanswered.
 	SuspectUntil time.Time
@@ -148,7 +151,9 @@
 	lastReport map[Source]time.Time
 	// reportingSince is since when all other control instances have reported without a gap,
 	// or the zero value.
-	reportingSince  time.Time
+	reportingSince time.Time
+	// othersReport is set once another instance has reported.
+	othersReport    bool
 	revision        uint64
 	contentRevision uint64
 	nextID          zf.ServerID
@@ -316,13 +321,15 @@
 	return false
 }
 
-// Inferred reports whether Late was inferred from missing reports of the heartbeat receiver.
-func (r *Row) Inferred() bool { return !r.inferredAt.IsZero() }
+// Inferred reports whether Late was inferred while reports of another instance are missing,
+// which may receive the heartbeats.
+func (r *Row) Inferred() bool { return !r.inferredAt.IsZero() || r.inferredThere }
 
 // setLate sets Late as the heartbeats or a report of their receiver show it.
 func (r *Row) setLate(late bool) {
 	r.Late = late
 	r.inferredAt = time.Time{}
+	r.inferredThere = false
 }
 
 // releaseAddress removes a row's entry in the index of addresses.
--- a/value.go
+++ b/value.go
@@ -503,8 +503,8 @@
 	// Late is set if a heartbeat is overdue. Silence before the control instances
 	// last regained contact with a majority doesn't count.
 	Late bool
-	// Inferred is set if Late was inferred from missing reports of the control instance
-	// that receives the heartbeats. It may still receive them.
+	// Inferred is set if Late was inferred while reports of another control instance were
+	// missing. That one may receive the heartbeats.
 	Inferred bool
 	// Suspect is set if too many recent requests to the server got no answer.
 	Suspect bool
