Reset flows of a silent data centre only if openings there lead nowhere

Cause: where all backend servers of a data centre answer 0.6 to 0.9 s late, no answer comes for as long as from a dead one, so that open flows whose requests were retransmitted twice were reset after 0.6 s.

Change: a reset also requires that opening packets of two callers at two backend servers of the data centre, forwarded since the request was sent, were sent again. A slow backend server opens flows at once; the first packet of such a flow already counted as an answer. A copy within 0.1 s proves nothing.

What it costs: an instance that opens no flows in a lost data centre tells its callers once control instances miss the heartbeats.

--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -42,6 +42,8 @@
 	// time of the next new flow that leaves for a silent data centre, in Unix nanoseconds.
 	misses    atomic.Int32
 	nextProbe atomic.Int64
+	// unopened holds the evidence that the data centre is not just slow.
+	unopened unopenedTable
 }
 
 // recordAnswer records that a backend server of the data centre answered a caller.
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -42,9 +42,10 @@
 	// nanoseconds. lastAcknowledged is the latest acknowledgement number of its caller.
 	lastData         int64
 	lastAcknowledged uint32
-	// opening is true for an opening packet. sequence is the sequence number of a packet
-	// with a payload.
+	// opening is true for an opening packet, which was forwarded at openedAt, in Unix
+	// nanoseconds. sequence is the sequence number of a packet with a payload.
 	opening  bool
+	openedAt int64
 	sequence uint32
 	// ticket is that of the opening until the flow's next packet, or 0.
 	ticket zfopening.Ticket
@@ -62,28 +63,30 @@
 }
 
 // recordOpening records an opening packet.
-func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow, ticket zfopening.Ticket, timing requestTiming) {
+func (t *requestTable) recordOpening(hash uint64, stats *serverStats, flow *zf.Flow, ticket zfopening.Ticket, timing requestTiming, now time.Time) {
 	t.mutex.Lock()
 	t.rows[hash%requestRows] = requestRow{
-		hash:    hash,
-		flow:    *flow,
-		stats:   stats,
-		opening: true,
-		ticket:  ticket,
-		timing:  timing,
+		hash:     hash,
+		flow:     *flow,
+		stats:    stats,
+		opening:  true,
+		openedAt: now.UnixNano(),
+		ticket:   ticket,
+		timing:   timing,
 	}
 	t.mutex.Unlock()
 }
 
 // openingTarget returns the statistics of the backend server that the flow's last
-// opening packet was forwarded to and that has not answered, or nil.
-func (t *requestTable) openingTarget(hash uint64) *serverStats {
+// opening packet was forwarded to and that has not answered, or nil, and when that was in
+// Unix nanoseconds.
+func (t *requestTable) openingTarget(hash uint64) (*serverStats, int64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if row := &t.rows[hash%requestRows]; row.hash == hash && row.opening {
-		return row.stats
+		return row.stats, row.openedAt
 	}
-	return nil
+	return nil, 0
 }
 
 // dataResult is what a packet with a payload shows.
@@ -147,12 +150,13 @@
 	return result
 }
 
-// abandoned reports whether the request alone suggests that the backend server is dead:
-// it was retransmitted deadMisses times, has waited for deadTimeout, and no backend
-// server of the data centre has answered since.
+// abandoned reports whether the backend server is taken for dead with its data centre: the
+// request was retransmitted deadMisses times and has waited for deadTimeout, and since it was
+// sent no backend server of the data centre has answered and several have left
+// opening packets unanswered.
 func (r *requestRow) abandoned(now time.Time) bool {
 	return r.requestedAt != 0 && r.retransmissions >= deadMisses && now.UnixNano()-r.requestedAt >= int64(deadTimeout) &&
-		r.requestedAt > r.stats.centre.lastAnswer.Load()
+		r.requestedAt > r.stats.centre.lastAnswer.Load() && r.stats.centre.unopened.severalSince(r.requestedAt)
 }
 
 // recordAcknowledgement records a packet without a payload, which may show that a
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -120,9 +120,7 @@
 	hash := zfflow.Hash(m.config.Seed, packet.Flow)
 	var previous *serverStats
 	if packet.Retransmissions > 0 {
-		if previous = m.requests.openingTarget(hash); previous != nil {
-			m.recordMiss(previous, now)
-		}
+		previous = m.recordCopy(hash, packet.Flow.Source.Addr(), now)
 	}
 	p := r.pickPool(hash)
 	if p == nil {
@@ -144,7 +142,7 @@
 		return reset(zf.ReasonNoServer)
 	}
 	s.stats.recordOpening()
-	m.requests.recordOpening(hash, s.stats, &packet.Flow, m.recordOpening(&attempt, s.stats, now), newTiming(r.times, packet, now))
+	m.requests.recordOpening(hash, s.stats, &packet.Flow, m.recordOpening(&attempt, s.stats, now), newTiming(r.times, packet, now), now)
 	return forward(s)
 }
 
