Prove room by demand and rejections of the same time

Cause: rejections are counted over seconds, the demand follows its trend. After a limit began, a demand that had fallen was taken for what is processed with rejections from before, so that the proven room fell with it. The tests' service model reported rejections of the last second only and didn't show this. Change: what is processed follows from the mean demand over the same time; the proven room is held while the demand is well below it.

--- a/core/zfadmission/limit.go
+++ b/core/zfadmission/limit.go
@@ -19,6 +19,8 @@
 	probe            = 1.04
 	probeStep        = 1.01
 	provenGain       = 0.3
+	// heldShare is the share of the proven room below which a demand says nothing of it.
+	heldShare = 0.9
 	// usedShare is the share of the room that a limit fills. It is drainShare while
 	// requests wait for longer than callers bear, so that queues get shorter.
 	usedShare  = 0.97
@@ -130,7 +132,7 @@
 // what backend servers can take even if the room was learned too small.
 func (r *row) prove(bound time.Duration) {
 	f := r.figures
-	processed := f.demand * (1 - f.rejected)
+	processed := f.meanDemand * (1 - f.rejected)
 	switch {
 	case f.answer <= 0 || f.answer > bound:
 		r.proven = 0
@@ -138,6 +140,8 @@
 		r.proven = max(r.proven, min(f.demand*probe, max(f.room, r.proven)*probeStep))
 	case r.proven == 0:
 		r.proven = processed
+	case f.demand < heldShare*r.proven:
+		// Requests were rejected before the demand fell.
 	default:
 		r.proven += (processed - r.proven) * provenGain
 	}
--- a/core/zfadmission/table.go
+++ b/core/zfadmission/table.go
@@ -11,6 +11,7 @@
 
 	zf "zinniafront"
 	"zinniafront/core/zfbundle"
+	"zinniafront/core/zfload"
 )
 
 const (
@@ -29,9 +30,16 @@
 	rows     map[zf.ServiceName]*row
 	lastStep time.Time
 	changes  []Change
-	// usual is the share of requests that seem rejected while a service has room: those
+	means    map[zf.ServiceName]*means
+}
+
+// means are those of a service over some time.
+type means struct {
+	// usual is the share of requests that seem rejected while the service has room: those
 	// that take much less time than others.
-	usual map[zf.ServiceName]float64
+	usual float64
+	// demand is the mean demand over the time for which rejected requests are counted.
+	demand float64
 }
 
 // New returns the table of a control instance in a data centre.
@@ -39,7 +47,7 @@
 	return &Table{
 		centre: centre,
 		rows:   make(map[zf.ServiceName]*row),
-		usual:  make(map[zf.ServiceName]float64),
+		means:  make(map[zf.ServiceName]*means),
 	}
 }
 
@@ -84,7 +92,7 @@
 			continue
 		}
 		r := t.rows[service]
-		f.rejected = t.unusual(service, f, r != nil && r.limited)
+		f = t.meansOf(service, f).update(f, r != nil && r.limited)
 		if r == nil {
 			if f.demand <= f.room {
 				continue
@@ -95,9 +103,9 @@
 		r.step(f, bound, now)
 		t.recordChange(service, r, bound, now)
 	}
-	for service := range t.usual {
+	for service := range t.means {
 		if _, bounded := bounds[service]; !bounded {
-			delete(t.usual, service)
+			delete(t.means, service)
 		}
 	}
 	for service, r := range t.rows {
@@ -120,16 +128,30 @@
 	maxUsual = 0.9
 )
 
-// unusual returns the rejected share of the requests that are not usually rejected. It learns
-// that share while the service has room.
-func (t *Table) unusual(service zf.ServiceName, f figures, limited bool) float64 {
-	usual := t.usual[service]
+// meansOf returns the means of a service, which begin with its first figures.
+func (t *Table) meansOf(service zf.ServiceName, f figures) *means {
+	m := t.means[service]
+	if m == nil {
+		m = &means{
+			demand: f.demand,
+		}
+		t.means[service] = m
+	}
+	return m
+}
+
+// update updates the means by new figures, and returns those with the mean demand and the
+// rejected share of the requests that are not usually rejected. That share is learned while
+// the service has room.
+func (m *means) update(f figures, limited bool) figures {
+	m.demand += (f.demand - m.demand) * float64(stepInterval) / float64(zfload.CountTime)
 	if !limited && f.demand <= f.room {
-		usual += (f.rejected - usual) * float64(stepInterval) / float64(usualTime)
-		usual = min(usual, maxUsual)
-		t.usual[service] = usual
+		m.usual += (f.rejected - m.usual) * float64(stepInterval) / float64(usualTime)
+		m.usual = min(m.usual, maxUsual)
 	}
-	return max(f.rejected-usual, 0) / (1 - usual)
+	f.meanDemand = m.demand
+	f.rejected = max(f.rejected-m.usual, 0) / (1 - m.usual)
+	return f
 }
 
 // endAll ends all limits.
@@ -200,6 +222,8 @@
 type figures struct {
 	room   float64
 	demand float64
+	// meanDemand is that of means.
+	meanDemand float64
 	// wait, answer and rejected are the means of the data centres, weighted by demand.
 	wait     time.Duration
 	answer   time.Duration
