Share the decisions of the packet path with explanations

Cause: the lookup of limits, the opening passed to the admission and the choice of the departure stood twice. Change: one function each.

--- a/core/zfadmission/callers.go
+++ b/core/zfadmission/callers.go
@@ -92,21 +92,41 @@
 
 // Admit implements zinniafront.Admission.
 func (c *Callers) Admit(opening zf.Opening, now time.Time) bool {
+	class, limit := c.limitOf(&opening)
+	if class == nil {
+		return true
+	}
+	if opening.Retransmissions > 0 {
+		return c.admitCopy(&opening, class, now.UnixNano())
+	}
+	admitted := c.admitFirst(&opening, class, limit, now.UnixNano())
+	c.refused.record(opening.Hash, !admitted)
+	return admitted
+}
+
+// Would implements zinniafront.Admission.
+func (c *Callers) Would(opening zf.Opening, now time.Time) bool {
+	class, limit := c.limitOf(&opening)
+	if class == nil {
+		return true
+	}
+	row := c.table.copyOf(opening.Flow.Source.Addr(), class, now.UnixNano())
+	share, _ := row.admittedShare(limit, now.UnixNano())
+	return fraction(opening.Hash) < share
+}
+
+// limitOf returns the class of an opening and its limit, or nil if there is no limit.
+func (c *Callers) limitOf(opening *zf.Opening) (of *class, limit classLimit) {
 	current := c.current.Load()
 	if current == nil {
-		return true
+		return nil, classLimit{}
 	}
 	p := current.find(opening.Service)
 	if p == nil {
-		return true
+		return nil, classLimit{}
 	}
 	i := min(max(opening.Priority, 0), classCount-1)
-	if opening.Retransmissions > 0 {
-		return c.admitCopy(&opening, &p.service.classes[i], now.UnixNano())
-	}
-	admitted := c.admitFirst(&opening, &p.service.classes[i], p.limits[i], now.UnixNano())
-	c.refused.record(opening.Hash, !admitted)
-	return admitted
+	return &p.service.classes[i], p.limits[i]
 }
 
 // admitFirst decides on the first opening packet of a flow.
@@ -129,22 +149,6 @@
 	return false
 }
 
-// Would implements zinniafront.Admission.
-func (c *Callers) Would(opening zf.Opening, now time.Time) bool {
-	current := c.current.Load()
-	if current == nil {
-		return true
-	}
-	p := current.find(opening.Service)
-	if p == nil {
-		return true
-	}
-	i := min(max(opening.Priority, 0), classCount-1)
-	row := c.table.copyOf(opening.Flow.Source.Addr(), &p.service.classes[i], now.UnixNano())
-	share, _ := row.admittedShare(p.limits[i], now.UnixNano())
-	return fraction(opening.Hash) < share
-}
-
 // failedCopy is the number of retransmissions after which an opening counts as failed: a
 // caller that sends no further copy tries again from another port.
 const failedCopy = 2
--- a/core/zfcookie/departure.go
+++ b/core/zfcookie/departure.go
@@ -42,17 +42,16 @@
 	}
 }
 
-// depart sets the backend servers that a new flow tries first if it leaves the data centre.
+// depart sets the backend servers that a new flow tries first if it is part of a departure.
 // Retransmissions of its opening packet go to them as well, unless previous, which got the
 // last one, left it unanswered: then those at home are tried from the first pair. To a silent
-// data centre only probes leave.
-func (p *pool) depart(o openingPacket) openingPacket {
-	d := p.departureOf(o.hash)
+// data centre only probes leave, which mayProbe permits.
+func (o openingPacket) depart(d *departure, mayProbe bool) openingPacket {
 	switch {
 	case d == nil:
 	case o.previous != nil:
 		o.retransmissions--
-	case d.centre.acquireProbe(o.now):
+	case mayProbe:
 		o.away = d.servers
 	}
 	return o
--- a/core/zfcookie/explain.go
+++ b/core/zfcookie/explain.go
@@ -49,7 +49,9 @@
 	}
 	e.Service = p.service
 	m.explainDecisions(&e, s)
-	if !m.would(r, p, hash, flow, now) {
+	if !m.would(r, p, hash, &zf.Packet{
+		Flow: flow,
+	}, now) {
 		e.Attempts = []zf.ExplainedAttempt{refused(zf.ReasonNoRoom)}
 		return e
 	}
@@ -64,19 +66,6 @@
 	}
 }
 
-// would reports whether the admission would let a new flow through.
-func (m *Mapper) would(r *route, p *pool, hash uint64, flow zf.Flow, now time.Time) bool {
-	if !m.limited.Load() || r.targetLatency <= 0 {
-		return true
-	}
-	return m.config.Admission.Would(zf.Opening{
-		Flow:     flow,
-		Service:  p.service,
-		Priority: r.priority,
-		Hash:     hash,
-	}, now)
-}
-
 // explainAttempts adds the decisions on an opening packet and its copies.
 func (m *Mapper) explainAttempts(e *zf.Explanation, p *pool, hash uint64, now time.Time) {
 	var previous *serverStats
@@ -85,6 +74,7 @@
 		if m.openings != nil {
 			attempt = m.openings.Peek(&e.Flow, hash, i > 0, now)
 		}
+		d := p.departureOf(hash)
 		o := openingPacket{
 			hash:            hash,
 			retransmissions: i,
@@ -92,12 +82,9 @@
 			now:             now,
 			totalsKnown:     e.TotalsKnown,
 			attempt:         &attempt,
-		}
-		if d := p.departureOf(hash); d != nil && previous != nil {
-			o.retransmissions--
-		} else if d != nil && d.centre.mayProbe(now) {
-			o.away = d.servers
-			e.Destination = d.centre.name
+		}.depart(d, d != nil && d.centre.mayProbe(now))
+		if len(o.away) > 0 {
+			e.Destination = o.away[0].Centre
 		}
 		explained := zf.ExplainedAttempt{
 			Retransmissions: i,
@@ -164,7 +151,7 @@
 	if departure, found := zf.FindDeparture(s.departures, e.Service); found {
 		e.Departure = &departure
 	}
-	limits := m.limits.Load()
+	limits := m.limitsInForce.Load()
 	if limits == nil {
 		return
 	}
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -46,8 +46,8 @@
 	verdicts []zf.OpeningVerdict
 	// limited is set while limits for new flows are in force.
 	limited atomic.Bool
-	// limits are those in force, for explanations.
-	limits atomic.Pointer[[]zf.AdmissionLimit]
+	// limitsInForce are for explanations.
+	limitsInForce atomic.Pointer[[]zf.AdmissionLimit]
 	// stats holds the statistics of each backend server. The map belongs to the control
 	// goroutine.
 	stats map[zf.ServerIncarnation]*serverStats
--- a/core/zfcookie/route.go
+++ b/core/zfcookie/route.go
@@ -130,14 +130,15 @@
 		return reset(zf.ReasonNoRoom)
 	}
 	attempt := m.beginOpening(packet, hash, now)
-	s := p.choose(p.depart(openingPacket{
+	d := p.departureOf(hash)
+	s := p.choose(openingPacket{
 		hash:            hash,
 		retransmissions: packet.Retransmissions,
 		previous:        previous,
 		now:             now,
 		totalsKnown:     m.totalsKnown.Load(),
 		attempt:         &attempt,
-	}))
+	}.depart(d, d != nil && previous == nil && d.centre.acquireProbe(now)))
 	if s == nil {
 		return reset(zf.ReasonNoServer)
 	}
