--- a/core/zfcookie/unopened.go
+++ b/core/zfcookie/unopened.go
@@ -13,6 +13,8 @@
 	// openingTimeout is the time after which a copy of an opening packet shows that the one
 	// before had no answer. Callers wait for 200 ms; earlier copies were duplicated.
 	openingTimeout = 100 * time.Millisecond
+	// unopenedLifetime is how long an unanswered opening packet counts.
+	unopenedLifetime = 3 * time.Second
 )
 
 // unopenedTable holds the last opening packets to one data centre that had no answer, one of
