Run the soak with placement by wait, admission and leaving

Cause: the soak ran with the settings of before and didn't know the new parts. Change: its settings file holds load.

--- a/lab/zfsoak/process.go
+++ b/lab/zfsoak/process.go
@@ -90,6 +90,11 @@
 		"listen":  listen,
 		"threads": 1,
 		"plain":   true,
+		"load": map[string]any{
+			"placement": "wait",
+			"admission": "room",
+			"leaving":   map[string]any{},
+		},
 		"platform": map[string]any{
 			"seeds":    inst.seeds,
 			"centres":  inst.centres,
