Demand more lost openings before a request as evidence of a silent data centre

Cause: openings of the last 3 s counted for the reset of an open flow, two of them, on every instance. Two opening packets that were lost by chance reset the flows of living backend servers that answer slowly, where an instance sees few answers of their data centre; also without the setting that sends new flows elsewhere. Change: two callers at two backend servers count if all were forwarded after the request, as before. Earlier ones, after the last answer, need four callers at three backend servers, and count only with evidence from openings, which is why later ones are missing.

--- a/core/zfcookie/centre.go
+++ b/core/zfcookie/centre.go
@@ -42,8 +42,10 @@
 	// time of the next new flow that leaves for a silent data centre, in Unix nanoseconds.
 	misses    atomic.Int32
 	nextProbe atomic.Int64
-	// unopened holds the evidence that the data centre is not just slow.
+	// unopened holds the evidence that the data centre is not just slow. avoided is set if new
+	// flows leave backend servers and data centres by evidence from openings.
 	unopened unopenedTable
+	avoided  bool
 }
 
 // recordAnswer records that a backend server of the data centre answered a caller.
@@ -156,7 +158,8 @@
 	centre := m.centres[name]
 	if centre == nil {
 		centre = &centreStats{
-			name: name,
+			name:    name,
+			avoided: m.config.Openings,
 		}
 		m.centres[name] = centre
 	}
--- a/core/zfcookie/request.go
+++ b/core/zfcookie/request.go
@@ -152,16 +152,11 @@
 
 // abandoned reports whether the backend server is taken for dead with its data centre: the
 // request was retransmitted deadMisses times and has waited for deadTimeout, no backend server
-// of the data centre has answered since it was sent, and several have left opening packets
-// unanswered since the last answer. Those may be earlier than the request: new flows go
-// elsewhere once openings have no answer, but requests on open flows don't.
+// of the data centre has answered since it was sent, and openings there show that the data
+// centre is not just slow.
 func (r *requestRow) abandoned(now time.Time) bool {
-	if r.requestedAt == 0 || r.retransmissions < deadMisses || now.UnixNano()-r.requestedAt < int64(deadTimeout) {
-		return false
-	}
-	centre := r.stats.centre
-	lastAnswer := centre.lastAnswer.Load()
-	return r.requestedAt > lastAnswer && centre.unopened.severalSince(max(lastAnswer, now.Add(-unopenedLifetime).UnixNano()))
+	return r.requestedAt != 0 && r.retransmissions >= deadMisses && now.UnixNano()-r.requestedAt >= int64(deadTimeout) &&
+		r.requestedAt > r.stats.centre.lastAnswer.Load() && r.stats.centre.opensNone(r.requestedAt, now)
 }
 
 // recordAcknowledgement records a packet without a payload, which may show that a
--- a/core/zfcookie/unopened.go
+++ b/core/zfcookie/unopened.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,7 +14,15 @@
 	// openingTimeout is the time after which a copy of an opening packet shows that the one
 	// before had no answer. Callers wait for 200 ms; earlier copies were duplicated.
 	openingTimeout = 100 * time.Millisecond
-	// unopenedLifetime is how long an unanswered opening packet counts.
+	// abandonedOpenings is the number of callers and of backend servers with unanswered opening
+	// packets that show, all forwarded after a request, that its data centre is not just slow.
+	abandonedOpenings = 2
+	// earlierOpenings is the number of callers, and unresponsiveServers that of backend servers,
+	// if some were forwarded before the request. Single packets are lost at any time, and more
+	// of them in a longer time.
+	earlierOpenings = 4
+	// unopenedLifetime is how long an unanswered opening packet counts that was forwarded before
+	// the request.
 	unopenedLifetime = 3 * time.Second
 )
 
@@ -50,22 +59,36 @@
 	*replaced = opening
 }
 
-// severalSince reports whether opening packets of two callers at two backend servers that
-// were forwarded since then had no answer.
-func (t *unopenedTable) severalSince(since int64) bool {
+// since returns the number of callers whose opening packets were forwarded since then and had
+// no answer, and that of their backend servers.
+func (t *unopenedTable) since(at int64) (callers, servers int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var first *serverStats
-	for _, row := range t.rows {
-		switch {
-		case row.sentAt < since:
-		case first == nil:
-			first = row.stats
-		case row.stats != first:
-			return true
+	for i, row := range t.rows {
+		if row.stats == nil || row.sentAt < at {
+			continue
 		}
+		callers++
+		counted := func(earlier unopenedOpening) bool { return earlier.stats == row.stats && earlier.sentAt >= at }
+		if !slices.ContainsFunc(t.rows[:i], counted) {
+			servers++
+		}
+	}
+	return callers, servers
+}
+
+// opensNone reports whether opening packets show that the data centre, which has not answered
+// since a request, is not just slow. Those before the request count as well, if none has been
+// answered since, where evidence from openings sends new flows elsewhere: later ones may be missing.
+func (c *centreStats) opensNone(requestedAt int64, now time.Time) bool {
+	if callers, servers := c.unopened.since(requestedAt); callers >= abandonedOpenings && servers >= abandonedOpenings {
+		return true
+	}
+	if !c.avoided {
+		return false
 	}
-	return false
+	callers, servers := c.unopened.since(max(c.lastAnswer.Load(), now.Add(-unopenedLifetime).UnixNano()))
+	return callers >= earlierOpenings && servers >= unresponsiveServers
 }
 
 // recordCopy records that a caller sent an opening packet again. It returns the statistics of
