Change no phase of a data centre for an explanation

Cause: an explanation asked the table of openings whether a backend server may get a flow, which moved a data centre to its next phase where that was due, as a packet does; its return then began without any packet. Change: the next phase is computed apart from entering it, and a peeked attempt enters none. A copy's attempt can be derived for the explanation of copies.

--- a/core/zfopening/centre.go
+++ b/core/zfopening/centre.go
@@ -141,33 +141,47 @@
 	return c.phase.Load() == centreSound && c.servers.firstAt.Load() == 0
 }
 
-// evaluate updates the phase by the evidence.
-func (c *Centre) evaluate(now time.Time) {
-	phase := c.phase.Load()
+// evaluated returns the phase, and the one that it changes to by the evidence as of now.
+func (c *Centre) evaluated(now time.Time) (phase, next int32) {
+	phase = c.phase.Load()
 	since := now.UnixNano() - c.phaseAt.Load()
 	switch {
 	case phase != centreRefusing && c.doubted(now) && c.contrast():
-		c.enter(phase, centreRefusing, now)
+		return phase, centreRefusing
 	case phase == centreRefusing && c.servers.count(now) == 0 && since >= int64(evidenceLifetime):
-		c.enter(phase, centreReturning, now)
+		return phase, centreReturning
 	case phase >= centreReturning && since >= int64(returnTimeout):
-		c.enter(phase, centreSound, now)
+		return phase, centreSound
+	default:
+		return phase, phase
+	}
+}
+
+// evaluate updates the phase by the evidence and returns it.
+func (c *Centre) evaluate(now time.Time) int32 {
+	phase, next := c.evaluated(now)
+	if phase != next {
+		c.enter(phase, next, now)
 	}
+	return next
 }
 
 // may reports whether the data centre may get an opening packet. While it is doubted
 // without a contrast, half of the new flows try others; a retry tries them always.
 func (c *Centre) may(a *Attempt, now time.Time) bool {
-	c.evaluate(now)
-	switch phase := c.phase.Load(); {
+	before, phase := c.evaluated(now)
+	if phase != before && !a.peeked {
+		c.enter(before, phase, now)
+	}
+	switch {
 	case phase == centreSound && !c.doubted(now):
 		return true
 	case a.Retry:
 		return false
 	case phase == centreRefusing:
-		return now.UnixNano() >= c.nextProbe.Load()
+		return before == centreRefusing && now.UnixNano() >= c.nextProbe.Load()
 	default:
-		return a.part() < c.share(now)
+		return a.part() < c.share(phase, now)
 	}
 }
 
@@ -175,9 +189,9 @@
 // packet are treated alike.
 func (a *Attempt) part() float64 { return float64(a.hash>>48) / (1 << 16) }
 
-// share returns the share of new flows that may go to the data centre, besides probes.
-func (c *Centre) share(now time.Time) float64 {
-	switch phase := c.phase.Load(); {
+// share returns the share of new flows that may go to the data centre in a phase, besides probes.
+func (c *Centre) share(phase int32, now time.Time) float64 {
+	switch {
 	case phase == centreRefusing:
 		return 0
 	case phase >= centreReturning:
--- a/core/zfopening/table.go
+++ b/core/zfopening/table.go
@@ -121,6 +121,8 @@
 	// servers of that one and the one before.
 	earlier Ticket
 	avoided [2]*Server
+	// peeked is set if decisions on the attempt must not change anything.
+	peeked bool
 }
 
 // Avoids reports whether the backend server has just left an opening of the caller
@@ -147,6 +149,15 @@
 // Peek returns what Begin would, and changes nothing.
 func (t *Table) Peek(flow *zf.Flow, hash uint64, copied bool, now time.Time) Attempt {
 	a, _ := t.attempt(flow, hash, copied, now)
+	a.peeked = true
+	return a
+}
+
+// Copy returns the attempt of the copy that is sent if an opening packet went to a backend
+// server without an answer.
+func (a Attempt) Copy(s *Server) Attempt {
+	a.Retry = true
+	a.avoided = [2]*Server{s, a.avoided[0]}
 	return a
 }
 
--- a/core/zfopening/table_test.go
+++ b/core/zfopening/table_test.go
@@ -276,6 +276,22 @@
 	})
 }
 
+// TestPeek explains a flow when the verdict on a data centre has expired.
+func TestPeek(t *testing.T) {
+	w := newWorld("one", "two")
+	w.refuse()
+	w.pass(3500 * time.Millisecond)
+	flow := zf.Flow{
+		Source: netip.MustParseAddrPort("100.64.0.250:1"),
+	}
+	for hash := range uint64(100) {
+		peeked := w.table.Peek(&flow, hash<<57, false, w.now)
+		w.servers["one"][0].May(&peeked, w.now)
+	}
+	w.pass(10100 * time.Millisecond)
+	zfassert.AtMost(t, "share, as the return begins now", w.shareOf("one"), 0.2)
+}
+
 func TestSums(t *testing.T) {
 	for _, c := range []struct {
 		name     string
--- a/core/zfopening/verdict.go
+++ b/core/zfopening/verdict.go
@@ -28,15 +28,14 @@
 func (t *Table) CentreChanges(now time.Time) []zf.OpeningVerdict {
 	var changes []zf.OpeningVerdict
 	for _, c := range *t.centres.Load() {
-		c.evaluate(now)
-		phase := c.phase.Load()
+		phase := c.evaluate(now)
 		if phase == c.reported {
 			continue
 		}
 		c.reported = phase
 		verdict := c.verdict(&c.callers, now)
 		verdict.Servers = c.servers.count(now)
-		verdict.Share = c.share(now)
+		verdict.Share = c.share(phase, now)
 		changes = append(changes, verdict)
 	}
 	return changes
