Explain copies as packets meet them

Cause: what copies meet was decided without the backend servers that the packets before would have left unanswered: with evidence from openings the second copy leaves the data centre, and without it a backend server with a miss is only probed. A flow whose departure's backend servers are passed over was said to leave. Change: the attempts of copies avoid these backend servers; the destination is that of the backend server chosen. TestExplanationUnderLoad replays seven loads (a data centre refuses, is silent, is left for, backend servers are cold, probes are due): packets go where the explanation says, unless they show themselves that earlier openings led nowhere, and no later packet or verdict differs.

--- a/core/zfcookie/explain.go
+++ b/core/zfcookie/explain.go
@@ -1,6 +1,7 @@
 package zfcookie
 
 import (
+	"slices"
 	"time"
 
 	zf "zinniafront"
@@ -68,24 +69,22 @@
 
 // explainAttempts adds the decisions on an opening packet and its copies.
 func (m *Mapper) explainAttempts(e *zf.Explanation, p *pool, hash uint64, now time.Time) {
-	var previous *serverStats
+	var previous, unanswered *serverStats
+	var attempt zfopening.Attempt
+	if m.openings != nil {
+		attempt = m.openings.Peek(&e.Flow, hash, false, now)
+	}
+	d := p.departureOf(hash)
 	for i := range explainedAttempts {
-		var attempt zfopening.Attempt
-		if m.openings != nil {
-			attempt = m.openings.Peek(&e.Flow, hash, i > 0, now)
-		}
-		d := p.departureOf(hash)
 		o := openingPacket{
 			hash:            hash,
 			retransmissions: i,
 			previous:        previous,
+			unanswered:      unanswered,
 			now:             now,
 			totalsKnown:     e.TotalsKnown,
 			attempt:         &attempt,
 		}.depart(d, d != nil && d.centre.mayProbe(now))
-		if len(o.away) > 0 {
-			e.Destination = o.away[0].Centre
-		}
 		explained := zf.ExplainedAttempt{
 			Retransmissions: i,
 			Action:          zf.ActionForward,
@@ -99,8 +98,12 @@
 			return
 		}
 		explained.Server = chosen.Name
+		if slices.Contains(o.away, chosen) {
+			e.Destination = chosen.Centre
+		}
 		e.Attempts = append(e.Attempts, explained)
-		previous = chosen.stats
+		unanswered, previous = previous, chosen.stats
+		attempt = attempt.Copy(chosen.stats.opening)
 	}
 }
 
--- a/core/zfcookie/explain_test.go
+++ b/core/zfcookie/explain_test.go
@@ -1,6 +1,8 @@
 package zfcookie_test
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,6 +89,15 @@
 			}
 		}
 	})
+	t.Run("a flow stays if the data centre that it would leave for is passed over", func(t *testing.T) {
+		mapper := newMapper(departingView(1, row(1, "orders", "one"), row(2, "orders", "two")))
+		zfassert.Equal(t, "destination", mapper.Explain(flow(1), start).Destination, zf.CentreName("two"))
+		mapper.Route(opening(1, 0), start)
+		mapper.Route(opening(1, 1), start)
+		explanation := mapper.Explain(flow(2), start)
+		zfassert.Equal(t, "backend server", explanation.Attempts[0].Server, zf.ServerName("s1"))
+		zfassert.Equal(t, "destination", explanation.Destination, zf.CentreName(""))
+	})
 	t.Run("an unknown route has no attempts", func(t *testing.T) {
 		unknown := flow(1)
 		unknown.Destination = unknown.Source
@@ -98,3 +109,108 @@
 		zfassert.Equal(t, "reason", explanation.Attempts[0].Reason, zf.ReasonNoServer)
 	})
 }
+
+// byServer sorts verdicts by backend server; those of one stay in their order.
+func byServer(verdicts []zf.OpeningVerdict) []zf.OpeningVerdict {
+	slices.SortStableFunc(verdicts, func(a, b zf.OpeningVerdict) int {
+		return cmp.Or(cmp.Compare(a.Centre, b.Centre), cmp.Compare(a.Server, b.Server))
+	})
+	return verdicts
+}
+
+// TestExplanationUnderLoad explains all openings of loads in which verdicts, probes and rates
+// change, and replays each load without explanations.
+func TestExplanationUnderLoad(t *testing.T) {
+	refusing := closedCentre("one", learning, 2*time.Second)
+	departing := centreView(false)
+	departing.Departures = departingView(0.5).Departures
+	cold := centreView(false)
+	for i := range centreSize {
+		cold.Servers[i].State, cold.Servers[i].OpeningRate = zf.ServerCold, 2
+	}
+	for name, load := range map[string]openingLoad{
+		"a data centre refuses new flows and comes back": {
+			view:   centreView(false),
+			closed: refusing,
+		},
+		"callers behind few addresses meet closed ports": {
+			view:    centreView(false),
+			closed:  refusing,
+			address: func(n int) int { return n % 3 },
+		},
+		"a data centre is silent": {
+			view:   centreView(false),
+			silent: refusing,
+		},
+		"the data centre that flows leave for is silent": {
+			view:   departing,
+			silent: closedCentre("two", learning, 2*time.Second),
+		},
+		"the data centre that flows leave for refuses them": {
+			view:   departing,
+			closed: closedCentre("two", learning, 2*time.Second),
+		},
+		"backend servers are cold": {
+			view: cold,
+		},
+		"half of the backend servers refuse": {
+			view:   centreView(false),
+			closed: func(server zf.ServerView, at time.Duration) bool { return server.Number%2 == 0 && at >= learning },
+		},
+	} {
+		load.pause = 10 * time.Millisecond
+		t.Run(name, func(t *testing.T) {
+			plain := load.run(learning + 5*time.Second)
+			load.explained = true
+			explained := load.run(learning + 5*time.Second)
+			t.Run("packets go where it says", func(t *testing.T) { zfassert.Equal(t, "misexplained", explained.misexplained, 0) })
+			t.Run("it leaves no trace", func(t *testing.T) {
+				zfassert.True(t, "the same backend servers", slices.Equal(explained.chosen, plain.chosen))
+				zfassert.True(t, "the same verdicts", slices.Equal(byServer(explained.verdicts), byServer(plain.verdicts)))
+			})
+		})
+	}
+}
+
+// TestExplainedCopies replays opening packets of which none has an answer.
+func TestExplainedCopies(t *testing.T) {
+	cold := centreView(false)
+	for i := range centreSize / 2 {
+		cold.Servers[i].State, cold.Servers[i].OpeningRate = zf.ServerCold, 0.1
+	}
+	sent := []time.Duration{0, retransmissionDelays[0], retransmissionDelays[1]}
+	assertCopies := func(t testing.TB, mapper *zfcookie.Mapper, v zf.View, port int) {
+		t.Helper()
+		for n := range 4 * centreSize { // Those that are cold get their new flows.
+			mapper.Route(openingOf(n, 30000+n), start)
+		}
+		attempts := mapper.Explain(flow(port), start).Attempts
+		zfassert.Equal(t, "attempts", len(attempts), len(sent))
+		for at := time.Duration(0); at <= sent[len(sent)-1]; at += maintenance {
+			mapper.Tick(start.Add(at), v)
+			if copies := slices.Index(sent, at); copies >= 0 {
+				verdict := mapper.Route(opening(port, copies), start.Add(at))
+				zfassert.Equal(t, "backend server", attempts[copies].Server, v.Servers[verdict.Number-1].Name)
+			}
+		}
+	}
+	for name, v := range map[string]zf.View{
+		"all stay":                 centreView(false),
+		"half of new flows leave":  departingView(0.5, centreView(false).Servers...),
+		"backend servers are cold": cold,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for port := range 100 {
+				assertCopies(t, newMapper(v), v, port)
+			}
+		})
+		t.Run(name+" with evidence from openings", func(t *testing.T) {
+			for port := range 100 {
+				assertCopies(t, newOpeningMapper(v), v, port)
+			}
+		})
+	}
+}
+
+// maintenance is the time between two runs of the periodic tasks.
+const maintenance = 100 * time.Millisecond
--- a/core/zfcookie/opening_test.go
+++ b/core/zfcookie/opening_test.go
@@ -44,6 +44,8 @@
 	retriesElsewhere bool
 	// restElsewhere is the percentage of flows whose next packets go to other instances.
 	restElsewhere int
+	// explained has the openings explained before they are sent, and those of other callers.
+	explained bool
 }
 
 // openingResult is what callers saw of an openingLoad.
@@ -60,6 +62,10 @@
 	failed   int
 	reset    int
 	verdicts []zf.OpeningVerdict
+	// chosen are the numbers of the backend servers of all opening packets in their order.
+	// misexplained counts the first packets that went elsewhere than explained.
+	chosen       []uint64
+	misexplained int
 }
 
 // openingRoundTrip is the round trip between a caller and a backend server, retryDelay the
@@ -151,8 +157,40 @@
 	return packet
 }
 
+// route routes an opening packet, and explains it first if that is set. A packet that shows
+// itself that earlier openings led nowhere is decided by more than was known before.
+func (p *openingPlay) route(packet zf.Packet, caller int) zf.Verdict {
+	now := start.Add(p.at)
+	p.takeUnopened()
+	if !p.explained {
+		return p.mapper.Route(packet, now)
+	}
+	for port := range 5 {
+		p.mapper.Explain(openingOf(caller+port, 50000+port).Flow, now)
+	}
+	explanation := p.mapper.Explain(packet.Flow, now)
+	verdict := p.mapper.Route(packet, now)
+	first := explanation.Attempts[0]
+	same := first.Action == verdict.Action && first.Reason == verdict.Reason &&
+		(first.Action != zf.ActionForward || first.Server == p.view.Servers[verdict.Number-1].Name)
+	if packet.Retransmissions == 0 && !same && p.takeUnopened() == 0 {
+		p.result.misexplained++
+	}
+	return verdict
+}
+
+// takeUnopened returns the number of openings found to lead nowhere since the last call.
+func (p *openingPlay) takeUnopened() int {
+	count := 0
+	for _, load := range p.mapper.Loads() {
+		count += load.Unopened
+	}
+	return count
+}
+
 func (p *openingPlay) send(packet zf.Packet, caller, try int) {
-	verdict := p.mapper.Route(packet, start.Add(p.at))
+	verdict := p.route(packet, caller)
+	p.result.chosen = append(p.result.chosen, verdict.Number)
 	if verdict.Action != zf.ActionForward {
 		p.result.reset++
 		return
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -46,7 +46,10 @@
 	// previous holds the statistics of the backend server that the packet was last
 	// forwarded to, or nil.
 	previous *serverStats
-	now      time.Time
+	// unanswered holds, for an explanation, those of the backend server that would have left the
+	// packet before that one unanswered.
+	unanswered *serverStats
+	now        time.Time
 	// totalsKnown is true while the total loads are up to date.
 	totalsKnown bool
 	attempt     *zfopening.Attempt
@@ -166,7 +169,7 @@
 		return zf.ExclusionPrevious
 	case !o.allows(s):
 		return zf.ExclusionCold
-	case !s.stats.mayProbe(o.now):
+	case !s.stats.mayProbe(o.now), s.stats == o.unanswered:
 		return zf.ExclusionUnanswered
 	case s.stats.centre.unresponsive(s.Late, o.now):
 		return zf.ExclusionCentre
