Name each wrong question to explain

A control instance asked subscribers of other data centres for its own, and several silent ones in a row for longer than the command waits. An instance without routes yet was reported as an unknown route (exit code 7), an earlier version by an error of net/rpc. Port 0 and an IPv6 caller of an IPv4 route were taken. Silent instances beside a single answer, and opening packets that an overloaded instance drops, weren't shown. Clear errors for the others; field shed.

--- a/core/zfcookie/explain.go
+++ b/core/zfcookie/explain.go
@@ -32,6 +32,10 @@
 	}
 	s := m.current.Load()
 	if s == nil {
+		e.Attempts = []zf.ExplainedAttempt{{
+			Action: zf.ActionDrop,
+			Reason: zf.ReasonNotReady,
+		}}
 		return e
 	}
 	r := s.routes.find(flow.Destination)
--- a/explain.go
+++ b/explain.go
@@ -19,6 +19,8 @@
 	Flow     Flow
 	// Ready is set if the instance is in the fabric's rotation.
 	Ready bool
+	// Shed is the share of opening packets that it drops since it is overloaded.
+	Shed float64
 	// Index is that of the control state in force and Version that of its bundle. Age is
 	// the time since the last news of a control instance.
 	Index   uint64
--- a/io/command/zfcmd/factory.go
+++ b/io/command/zfcmd/factory.go
@@ -106,7 +106,7 @@
 const ExitHelp = `Exit codes: 0 success; 1 other failure; 2 invalid usage or document;
 3 refused, nothing changed; 4 no control instance reachable, nothing sent;
 5 outcome unknown, repeat the same command; 6 timed out, not yet in force;
-7 the route that was asked for doesn't exist.`
+7 the route or data centre that was asked for doesn't exist.`
 
 // ExitCode returns the exit code for the error of a command.
 func ExitCode(err error) int {
--- a/io/command/zfexplaincmd/document.go
+++ b/io/command/zfexplaincmd/document.go
@@ -1,6 +1,7 @@
 package zfexplaincmd
 
 import (
+	"slices"
 	"time"
 
 	zf "zinniafront"
@@ -21,6 +22,7 @@
 	Instance    string            `json:"instance"`
 	Centre      string            `json:"centre"`
 	Ready       bool              `json:"ready"`
+	Shed        float64           `json:"shed"`
 	Index       uint64            `json:"index"`
 	Version     uint64            `json:"version"`
 	Age         string            `json:"age"`
@@ -100,6 +102,13 @@
 	return false
 }
 
+// starting reports whether no instance has routes yet.
+func (d document) starting() bool {
+	return !slices.ContainsFunc(d.Instances, func(i instanceDocument) bool {
+		return len(i.Attempts) == 0 || i.Attempts[0].Reason != zf.ReasonNotReady.String()
+	})
+}
+
 // sameDecision compares the decisions on the first opening packet.
 func sameDecision(a, b instanceDocument) bool {
 	if a.Known != b.Known || a.Service != b.Service || len(a.Attempts) != len(b.Attempts) {
@@ -114,6 +123,7 @@
 		Instance:    string(e.Instance),
 		Centre:      string(e.Centre),
 		Ready:       e.Ready,
+		Shed:        e.Shed,
 		Index:       e.Index,
 		Version:     e.Version,
 		Age:         e.Age.Round(time.Millisecond).String(),
@@ -191,7 +201,7 @@
 	for _, instance := range d.Instances {
 		printInstance(streams, instance)
 	}
-	if len(d.Instances) > 1 {
+	if len(d.Instances)+d.Silent > 1 {
 		streams.Printf("instances: %d, silent %d, agree %t\n", len(d.Instances), d.Silent, d.Agree)
 	}
 }
@@ -199,6 +209,9 @@
 func printInstance(streams zfcmd.Streams, d instanceDocument) {
 	streams.Printf("%s in %s: ready %t, version %d (index %d), last news %s ago, loads of all instances %t\n",
 		d.Instance, d.Centre, d.Ready, d.Version, d.Index, d.Age, d.Totals)
+	if d.Shed > 0 {
+		streams.Printf("  overloaded: %.2f of opening packets are dropped\n", d.Shed)
+	}
 	if !d.Known {
 		streams.Printf("  route %s: unknown\n", d.Route)
 		return
--- a/io/command/zfexplaincmd/explain.go
+++ b/io/command/zfexplaincmd/explain.go
@@ -2,6 +2,7 @@
 package zfexplaincmd
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -54,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkFlow(caller, o.Route); err != nil {
+		return err
+	}
 	reply, err := o.ask(zfcluster.ExplainArgs{
 		Flow: zf.Flow{
 			Protocol:    zf.ProtocolTCP,
@@ -66,7 +70,11 @@
 	if err != nil {
 		return err
 	}
-	if len(reply.Explanations) == 0 {
+	switch {
+	case len(reply.Explanations) > 0:
+	case reply.Silent == 0:
+		return errors.Wrapf(zfcmd.ErrUnknown, "no entry instance of the data centre is known there (%s)", cmp.Or(o.Centre, "its own"))
+	default:
 		return errors.Wrapf(zfcmd.ErrUnreachable, "%d entry instances didn't answer", reply.Silent)
 	}
 	document := newDocument(reply)
@@ -75,12 +83,33 @@
 	} else {
 		printDocument(o.streams, document)
 	}
-	if err == nil && !document.known() {
+	switch {
+	case err != nil || document.known():
+	case document.starting():
+		err = errors.Wrap(errStarting, document.Instances[0].Instance)
+	default:
 		err = errors.Wrapf(zfcmd.ErrUnknown, "no route has the address %s", o.Route)
 	}
 	return err
 }
 
+// errStarting is returned if the instances that answer have no routes yet.
+var errStarting = errors.New("the instance has just started and has no routes yet")
+
+// checkFlow checks that callers and routes can have these addresses.
+func checkFlow(caller, route netip.AddrPort) error {
+	switch {
+	case caller.Port() == 0:
+		return errors.Wrapf(zfcmd.ErrInput, "caller %s has port 0", caller)
+	case route.Port() == 0:
+		return errors.Wrapf(zfcmd.ErrInput, "route %s has port 0", route)
+	case caller.Addr().Is4() != route.Addr().Is4():
+		return errors.Wrapf(zfcmd.ErrInput, "caller %s and route %s are not both IPv4 or both IPv6", caller.Addr(), route)
+	default:
+		return nil
+	}
+}
+
 // ask asks the instances in order until one answers.
 func (o *Options) ask(args zfcluster.ExplainArgs) (zfcluster.ExplainReply, error) {
 	var err error
--- a/io/zfcluster/explain.go
+++ b/io/zfcluster/explain.go
@@ -1,8 +1,11 @@
 package zfcluster
 
 import (
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	zf "zinniafront"
 )
 
@@ -28,9 +31,18 @@
 	return err
 }
 
+// ErrEarlierVersion is returned if the instance doesn't know the call.
+var ErrEarlierVersion = errors.New("the instance is of a version without this call")
+
+// noMethod is how the error of net/rpc for an unknown method begins.
+const noMethod = "rpc: can't find method"
+
 // Explain asks where the opening packets of a flow would go.
 func (c *Client) Explain(args ExplainArgs, timeout time.Duration) (ExplainReply, error) {
 	var reply ExplainReply
 	err := c.call("Explain", args, &reply, timeout)
+	if err != nil && strings.HasPrefix(errors.Cause(err).Error(), noMethod) {
+		err = errors.Wrap(ErrEarlierVersion, c.address.String())
+	}
 	return reply, err
 }
--- a/io/zfcontrollerloop/explain.go
+++ b/io/zfcontrollerloop/explain.go
@@ -5,18 +5,18 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"zinniafront/io/zfcluster"
 )
 
-// explainTimeout bounds the wait for one entry instance.
-const explainTimeout = time.Second
-
-// errNoEntryInstance is returned if no entry instance of a data centre is known here.
-var errNoEntryInstance = errors.New("no entry instance of the data centre subscribes here")
+const (
+	// explainTimeout bounds the wait for one entry instance, totalExplainTimeout that for
+	// several that are asked one after the other.
+	explainTimeout      = time.Second
+	totalExplainTimeout = 3 * time.Second
+)
 
-// Explain implements zfcluster.Handler. It asks entry instances, which place flows.
+// Explain implements zfcluster.Handler. It asks entry instances, which place flows. The reply is
+// empty if none of the data centre subscribes here.
 func (l *Loop) Explain(args zfcluster.ExplainArgs) (zfcluster.ExplainReply, error) {
 	if args.Centre == "" {
 		args.Centre = l.config.World.Replica().Self().Centre
@@ -25,20 +25,25 @@
 	if err := l.do(func(time.Time) { addresses = l.feed.SubscribersOf(args.Centre) }); err != nil {
 		return zfcluster.ExplainReply{}, err
 	}
-	if len(addresses) == 0 {
-		return zfcluster.ExplainReply{}, errors.Wrap(errNoEntryInstance, string(args.Centre))
-	}
-	if args.All {
+	all := args.All
+	args.All = false
+	if all {
 		return l.explainAll(args, addresses), nil
 	}
 	var reply zfcluster.ExplainReply
+	until := l.config.Clock.Now().Add(totalExplainTimeout)
 	for _, address := range addresses {
 		answer, err := l.explainAt(address, args)
-		if err == nil {
+		switch {
+		case err != nil:
+			reply.Silent++
+		case len(answer.Explanations) > 0:
 			reply.Explanations = answer.Explanations
 			return reply, nil
 		}
-		reply.Silent++
+		if !l.config.Clock.Now().Before(until) {
+			break
+		}
 	}
 	return reply, nil
 }
