Explain which backend servers take no new flows

Cause: those that drain, and those of a data centre that is taken out, were missing in an explanation, so that nothing said why they weren't chosen; nor was shown whose heartbeat is overdue. Change: a pool keeps them apart for explanations; candidates have late.

--- a/core/zfcookie/explain.go
+++ b/core/zfcookie/explain.go
@@ -21,8 +21,12 @@
 	tierSilent:  "silent",
 }
 
-// awayName is the name of the backend servers of a departure in explanations.
-const awayName = "away"
+// awayName and closedName are the names of the backend servers of a departure, and of those that
+// take no new flows, in explanations.
+const (
+	awayName   = "away"
+	closedName = "closed"
+)
 
 // Explain implements zinniafront.Explainer.
 func (m *Mapper) Explain(flow zf.Flow, now time.Time) zf.Explanation {
@@ -129,6 +133,14 @@
 	for i, tier := range p.tiers {
 		add(tier, tierNames[i])
 	}
+	for _, s := range p.closed {
+		closed := o.explain(s, closedName, p.costOf)
+		closed.PassedOver = zf.ExclusionDraining
+		if !s.Allowed {
+			closed.PassedOver = zf.ExclusionEvacuated
+		}
+		servers = append(servers, closed)
+	}
 	return servers
 }
 
@@ -144,6 +156,7 @@
 		Centre:     s.Centre,
 		Address:    s.Address,
 		State:      s.State,
+		Late:       s.Late,
 		Tier:       tier,
 		Slots:      s.Slots,
 		Share:      use.Share,
--- a/core/zfcookie/explain_test.go
+++ b/core/zfcookie/explain_test.go
@@ -98,6 +98,18 @@
 		zfassert.Equal(t, "backend server", explanation.Attempts[0].Server, zf.ServerName("s1"))
 		zfassert.Equal(t, "destination", explanation.Destination, zf.CentreName(""))
 	})
+	t.Run("it names those that take no new flows", func(t *testing.T) {
+		draining, out, gone := row(2, "orders", "one"), row(3, "orders", "two"), row(4, "orders", "one")
+		draining.State, draining.Weight = zf.ServerDraining, 0
+		out.Allowed, out.Late = false, true
+		gone.State, gone.Weight = zf.ServerGone, 0
+		candidates := newMapper(view(row(1, "orders", "one"), draining, out, gone)).Explain(flow(1), start).Attempts[0].Candidates
+		zfassert.Equal(t, "candidates", len(candidates), 3)
+		for i, want := range []zf.Exclusion{zf.ExclusionNone, zf.ExclusionDraining, zf.ExclusionEvacuated} {
+			zfassert.Equal(t, "passed over", candidates[i].PassedOver, want)
+		}
+		zfassert.True(t, "late", candidates[2].Late)
+	})
 	t.Run("an unknown route has no attempts", func(t *testing.T) {
 		unknown := flow(1)
 		unknown.Destination = unknown.Source
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -163,6 +163,8 @@
 	service zf.ServiceName
 	// tiers holds the backend servers in order of preference.
 	tiers [tierCount][]*server
+	// closed holds those that live but take no new flows, for explanations.
+	closed []*server
 	// departures are the shares of new flows that go to other data centres first.
 	departures []departure
 	// costOf compares the backend servers that a new flow may go to.
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -10,15 +10,15 @@
 	"zinniafront/core/zfopening"
 )
 
-// add adds a backend server to its tier, or to none if it takes no new flows.
+// add adds a backend server to its tier, or to those that take no new flows.
 func (p *pool) add(s *server, centre zf.CentreName) {
-	if !s.Allowed {
-		return
-	}
 	switch {
+	case !s.Allowed:
+		p.addClosed(s)
 	case s.State == zf.ServerSilent:
 		p.tiers[tierSilent] = append(p.tiers[tierSilent], s)
 	case s.Weight <= 0:
+		p.addClosed(s)
 	case s.Suspect:
 		p.tiers[tierSuspect] = append(p.tiers[tierSuspect], s)
 	case s.Centre == centre:
@@ -28,13 +28,22 @@
 	}
 }
 
+// addClosed adds a backend server that takes no new flows.
+func (p *pool) addClosed(s *server) {
+	if s.State != zf.ServerGone {
+		p.closed = append(p.closed, s)
+	}
+}
+
 // sort orders the tiers identically on all instances.
 func (p *pool) sort() {
+	byName := func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), a.Born.Compare(b.Born))
+	}
 	for _, tier := range p.tiers {
-		slices.SortFunc(tier, func(a, b *server) int {
-			return cmp.Or(cmp.Compare(a.Name, b.Name), a.Born.Compare(b.Born))
-		})
+		slices.SortFunc(tier, byName)
 	}
+	slices.SortFunc(p.closed, byName)
 }
 
 // openingPacket is an opening packet for which a backend server is chosen.
--- a/explain.go
+++ b/explain.go
@@ -53,7 +53,7 @@
 	// Server is the backend server that is chosen, or empty.
 	Server ServerName
 	// Candidates are the backend servers of the service in the order in which they are
-	// considered.
+	// considered, and then those that take no new flows.
 	Candidates []ExplainedServer
 }
 
@@ -63,6 +63,8 @@
 	Centre  CentreName
 	Address netip.AddrPort
 	State   ServerState
+	// Late is set if its heartbeat is overdue.
+	Late bool
 	// Tier is the group of backend servers, which are considered one after the other.
 	Tier string
 	// Slots is the number of requests that it processes at a time, Share the rate of
@@ -95,6 +97,10 @@
 	ExclusionUnopened
 	// ExclusionShare means that it is no candidate for this flow, as others have more room.
 	ExclusionShare
+	// ExclusionDraining means that it leaves and takes no new flows.
+	ExclusionDraining
+	// ExclusionEvacuated means that its data centre is taken out.
+	ExclusionEvacuated
 )
 
 // String returns the exclusion's name in output.
@@ -114,6 +120,10 @@
 		return "unopened"
 	case ExclusionShare:
 		return "share"
+	case ExclusionDraining:
+		return "draining"
+	case ExclusionEvacuated:
+		return "evacuated"
 	default:
 		return "unknown"
 	}
--- a/io/command/zfexplaincmd/document.go
+++ b/io/command/zfexplaincmd/document.go
@@ -69,6 +69,7 @@
 	Centre   string  `json:"centre"`
 	Address  string  `json:"address"`
 	State    string  `json:"state"`
+	Late     bool    `json:"late"`
 	Tier     string  `json:"tier"`
 	Slots    int     `json:"slots"`
 	Share    float64 `json:"share"`
@@ -182,6 +183,7 @@
 			Centre:   string(s.Centre),
 			Address:  s.Address.String(),
 			State:    s.State.String(),
+			Late:     s.Late,
 			Tier:     s.Tier,
 			Slots:    s.Slots,
 			Share:    s.Share,
@@ -230,8 +232,8 @@
 				streams.Printf("    and %d more\n", len(attempt.Candidates)-maxPrinted)
 				break
 			}
-			streams.Printf("    %s in %s: %s, %s, cost %.3g, share %.2f, requests %.0f, passed over %s\n",
-				s.Server, s.Centre, s.Tier, s.State, s.Cost, s.Share, s.Requests, s.Passed)
+			streams.Printf("    %s in %s: %s, %s, heartbeat late %t, cost %.3g, share %.2f, requests %.0f, passed over %s\n",
+				s.Server, s.Centre, s.Tier, s.State, s.Late, s.Cost, s.Share, s.Requests, s.Passed)
 		}
 	}
 }
