Test that living servers' flows stay with evidence from openings, too

Cause: the tests against resets of living backend servers ran without the evidence that is on where the rule for them differs. Change: three of them run with both mappers, their checks unchanged.

--- a/core/zfcookie/living_test.go
+++ b/core/zfcookie/living_test.go
@@ -10,9 +10,17 @@
 	"zinniafront/lab/zfassert"
 )
 
+// withBoth runs a test with a mapper without evidence from openings and one with it.
+func withBoth(t *testing.T, run func(t *testing.T, newWith func(zf.View) *zfcookie.Mapper)) {
+	t.Run("by requests", func(t *testing.T) { run(t, newMapper) })
+	t.Run("by requests and openings", func(t *testing.T) { run(t, newOpeningMapper) })
+}
+
 // TestLivingServers guards against resets of flows whose backend servers live, when others of
 // their data centre crash.
-func TestLivingServers(t *testing.T) {
+func TestLivingServers(t *testing.T) { withBoth(t, testLivingServers) }
+
+func testLivingServers(t *testing.T, newWith func(zf.View) *zfcookie.Mapper) {
 	// crash has the first crashed backend servers of data centre two leave a request each
 	// unanswered, beside requests to data centre one that are answered. It returns the time
 	// at which the last of them has been retransmitted once.
@@ -38,7 +46,7 @@
 	for _, crashed := range []int{3, centreSize - 1} {
 		t.Run(fmt.Sprintf("%d others crash", crashed), func(t *testing.T) {
 			v := centreView(false)
-			mapper := newMapper(v)
+			mapper := newWith(v)
 			now := crash(mapper, crashed, v)
 			mapper.EndedFlows()
 			for n, server := range v.Servers[centreSize+crashed : 2*centreSize] {
@@ -54,7 +62,7 @@
 	}
 	t.Run("one that answers after a retransmission", func(t *testing.T) {
 		v := centreView(false)
-		mapper := newMapper(v)
+		mapper := newWith(v)
 		last := v.Servers[2*centreSize-1].Name
 		requestTo(mapper, last, 9000, start)
 		requestTo(mapper, last, 9000, start.Add(retransmissionDelays[0]))
@@ -68,7 +76,9 @@
 
 // TestResumedInstance guards against resets of flows that other instances serve, when an
 // instance that was suspended reads the requests and retransmissions that waited for it.
-func TestResumedInstance(t *testing.T) {
+func TestResumedInstance(t *testing.T) { withBoth(t, testResumedInstance) }
+
+func testResumedInstance(t *testing.T, newWith func(zf.View) *zfcookie.Mapper) {
 	for _, c := range []struct {
 		name string
 		// late has them be read after the first tick that follows the suspension.
@@ -84,7 +94,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := centreView(false)
-			mapper := newMapper(v)
+			mapper := newWith(v)
 			mapper.Tick(start, v)
 			now := start.Add(2 * time.Second)
 			if c.late {
@@ -123,9 +133,11 @@
 
 // TestSlowCentre guards against resets of flows whose backend servers answer late, together
 // with all others of their data centre.
-func TestSlowCentre(t *testing.T) {
+func TestSlowCentre(t *testing.T) { withBoth(t, testSlowCentre) }
+
+func testSlowCentre(t *testing.T, newWith func(zf.View) *zfcookie.Mapper) {
 	v := centreView(false)
-	mapper := newMapper(v)
+	mapper := newWith(v)
 	sent := []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 	for at := time.Duration(0); at <= 750*time.Millisecond; at += 10 * time.Millisecond {
 		now := start.Add(at)
