--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -7,7 +7,6 @@
 
 import (
 	"encoding/binary"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -71,93 +70,6 @@
 	endedFlows []zf.EndedFlow
 }
 
-// snapshot is the immutable state that the traffic goroutines read.
-type snapshot struct {
-	routes  routes
-	cookies map[zf.Cookie]*server
-	// addresses are those of routes. removed holds when this instance learned that a route
-	// had been removed.
-	addresses []netip.AddrPort
-	removed   map[netip.AddrPort]time.Time
-	// departures are those of the view, for explanations.
-	departures []zf.Departure
-}
-
-// removedRetention is how long the address of a removed route is kept: flows are older then
-// than callers keep them open.
-const removedRetention = 60 * time.Second
-
-// recordRemoved records the routes that have been removed since an earlier snapshot.
-func (s *snapshot) recordRemoved(earlier *snapshot, now time.Time) {
-	s.removed = make(map[netip.AddrPort]time.Time)
-	if earlier == nil {
-		return
-	}
-	for address, at := range earlier.removed {
-		if now.Sub(at) < removedRetention && s.routes.find(address) == nil {
-			s.removed[address] = at
-		}
-	}
-	for _, address := range earlier.addresses {
-		if s.routes.find(address) == nil {
-			s.removed[address] = now
-		}
-	}
-}
-
-// routes holds the routes by address. IPv4 addresses have a separate map, since its
-// integer keys are hashed in a third of the time.
-type routes struct {
-	ipv4 map[uint64]*route
-	ipv6 map[netip.AddrPort]*route
-}
-
-func newRoutes(size int) routes {
-	return routes{
-		ipv4: make(map[uint64]*route, size),
-		ipv6: make(map[netip.AddrPort]*route),
-	}
-}
-
-// ipv4Key returns the map key of an IPv4 address and port.
-func ipv4Key(address netip.AddrPort) uint64 {
-	host := address.Addr().As4()
-	return uint64(binary.BigEndian.Uint32(host[:]))<<16 | uint64(address.Port())
-}
-
-func (r routes) add(address netip.AddrPort, added *route) {
-	if address.Addr().Is4() {
-		r.ipv4[ipv4Key(address)] = added
-		return
-	}
-	r.ipv6[address] = added
-}
-
-func (r routes) find(address netip.AddrPort) *route {
-	if address.Addr().Is4() {
-		return r.ipv4[ipv4Key(address)]
-	}
-	return r.ipv6[address]
-}
-
-type route struct {
-	targets []target
-	// targetLatency, deadline and priority are those of the route's view.
-	targetLatency time.Duration
-	deadline      time.Duration
-	priority      int
-	// times is nil unless Config.Learn is set.
-	times *routeTimes
-	// total is the sum of the weights of all targets.
-	total uint64
-}
-
-type target struct {
-	pool *pool
-	// cumulativeWeight is the sum of the weights of this target and those before it.
-	cumulativeWeight uint64
-}
-
 // pool holds the backend servers of a service that take new flows.
 type pool struct {
 	service zf.ServiceName
@@ -339,44 +251,6 @@
 	m.current.Store(next)
 }
 
-// redirectRestarted maps the cookies of backend servers that have certainly ended to the
-// later incarnation with the same number and address. A flow that opened before that one
-// announced itself may be its own; it resets those that it doesn't have. The rows are
-// sorted by name and start time.
-func (s *snapshot) redirectRestarted(rows []zf.ServerView) {
-	for i, row := range rows {
-		if row.State != zf.ServerGone || !row.Proven {
-			continue
-		}
-		ended := s.cookies[CookieOf(row.Name, row.Born)]
-		if ended == nil || !ended.Born.Equal(row.Born) {
-			continue // Cookie collision.
-		}
-		ended.stats.termination.restartedAt = time.Time{}
-		for _, later := range rows[i+1:] {
-			if later.Name != row.Name {
-				break
-			}
-			if later.State == zf.ServerGone || later.Number != row.Number || later.Address != row.Address || later.Service != row.Service {
-				continue
-			}
-			if successor := s.cookies[CookieOf(later.Name, later.Born)]; successor != nil && successor.Name == later.Name {
-				ended.stats.termination.restartedAt = later.Born
-				s.cookies[ended.cookie] = successor
-			}
-		}
-	}
-}
-
-// replaces reports whether s gets the cookie in a collision with other: a backend server
-// that is not gone goes first, then the one that started earlier.
-func replaces(s, other *server) bool {
-	if gone := other.State == zf.ServerGone; gone != (s.State == zf.ServerGone) {
-		return gone
-	}
-	return s.Born.Before(other.Born) || s.Born.Equal(other.Born) && s.Name < other.Name
-}
-
 // newServer returns the snapshot entry of a row and adds its statistics to next.
 func (m *Mapper) newServer(row zf.ServerView, next map[zf.ServerIncarnation]*serverStats) *server {
 	incarnation := zf.NewServerIncarnation(row.Name, row.Born)
@@ -398,28 +272,6 @@
 	}
 }
 
-func newRoute(view zf.RouteView, pools map[zf.ServiceName]*pool) *route {
-	r := &route{
-		targetLatency: view.Target,
-		deadline:      view.Deadline,
-		priority:      view.Priority,
-	}
-	for _, t := range view.Targets {
-		p := pools[t.Service]
-		if p == nil {
-			p = &pool{
-				service: t.Service,
-			}
-		}
-		r.total += uint64(max(t.Weight, 0))
-		r.targets = append(r.targets, target{
-			pool:             p,
-			cumulativeWeight: r.total,
-		})
-	}
-	return r
-}
-
 // Outcomes implements zinniafront.Observer.
 func (m *Mapper) Outcomes() []zf.Outcome {
 	var outcomes []zf.Outcome
