Build the feeds of tests by one function

Cause: TestLoads and the test of departures wrote the same feed of a data centre again. Change: newFeedOf builds the feed of a control instance in a data centre; newFeed is that without one. No test case or assertion changes. Result: go test ./io/zfcluster passes.

--- a/io/zfcluster/departure_test.go
+++ b/io/zfcluster/departure_test.go
@@ -17,12 +17,7 @@
 	s.loads = []zf.ServerLoad{{}}
 	s.figures = []zf.ServiceRoom{{}}
 	s.departures = []zf.Departure{{}}
-	feed := zfcluster.NewFeed(zfcluster.FeedConfig{
-		Source:     7,
-		Data:       s,
-		SharePeers: true,
-		Centre:     "one",
-	})
+	feed := newFeedOf(s, "one")
 	for _, c := range []struct {
 		name                string
 		args                zfcluster.FetchArgs
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -99,10 +99,16 @@
 }
 
 func newFeed(s *testFeedData) *zfcluster.Feed {
+	return newFeedOf(s, "")
+}
+
+// newFeedOf returns the feed of a control instance in a data centre.
+func newFeedOf(s *testFeedData, centre zf.CentreName) *zfcluster.Feed {
 	return zfcluster.NewFeed(zfcluster.FeedConfig{
 		Source:     7,
 		Data:       s,
 		SharePeers: true,
+		Centre:     centre,
 	})
 }
 
@@ -247,12 +253,7 @@
 func TestLoads(t *testing.T) {
 	s := newTestFeedData()
 	s.loads = make([]zf.ServerLoad, 2)
-	feed := zfcluster.NewFeed(zfcluster.FeedConfig{
-		Source:     7,
-		Data:       s,
-		SharePeers: true,
-		Centre:     "one",
-	})
+	feed := newFeedOf(s, "one")
 	for _, c := range []struct {
 		name string
 		args zfcluster.FetchArgs
