Test untimed closings by one table of cases

Cause: two subtests of TestLearnedTimes repeated the setup and the assertion for a flow whose closing packet acknowledges late. Change: TestUntimedClosing has both as cases. Before: "a caller that acknowledges with requests may close the flow late" and "nothing is learned during a suspension" in TestLearnedTimes; now the same names, packets, times and assertion (no timed answer) in TestUntimedClosing, same file.

--- a/core/zfcookie/wait_test.go
+++ b/core/zfcookie/wait_test.go
@@ -230,31 +230,44 @@
 			zfassert.Equal(t, "bytes", got.Bytes, c.bytes)
 		})
 	}
-	t.Run("a caller that acknowledges with requests may close the flow late", func(t *testing.T) {
-		mapper := zfcookie.New(zfcookie.Config{
-			Learn: true,
-		})
-		mapper.Tick(start, view(row(1, "orders", "one")))
-		cookie := mapper.Route(opening(1, 0), start).Cookie
-		mapper.Route(data(1, cookie, 1), start)
-		next := data(1, cookie, 101)
-		next.Acknowledged = 600
-		mapper.Route(next, start.Add(50*time.Millisecond))
-		closing := next
-		closing.Kind, closing.PayloadSize, closing.Acknowledged = zf.PacketClosing, 0, 1200
-		mapper.Route(closing, start.Add(300*time.Millisecond))
-		zfassert.Equal(t, "answers", mapper.Loads()[0].Answers, 0)
-	})
-	t.Run("nothing is learned during a suspension", func(t *testing.T) {
-		mapper := zfcookie.New(zfcookie.Config{
-			Learn: true,
+}
+
+// TestUntimedClosing replays flows whose closing packet acknowledges an answer later than it
+// came.
+func TestUntimedClosing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// next is when a further request acknowledges the answer, or 0, closed when the
+		// flow is closed.
+		next   time.Duration
+		closed time.Duration
+	}{
+		{
+			name:   "a caller that acknowledges with requests may close the flow late",
+			next:   50 * time.Millisecond,
+			closed: 300 * time.Millisecond,
+		},
+		{
+			name:   "nothing is learned during a suspension",
+			closed: time.Second,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			mapper := zfcookie.New(zfcookie.Config{
+				Learn: true,
+			})
+			mapper.Tick(start, view(row(1, "orders", "one")))
+			cookie := mapper.Route(opening(1, 0), start).Cookie
+			mapper.Route(data(1, cookie, 1), start)
+			packet := data(1, cookie, 101)
+			packet.Acknowledged = 600
+			if c.next > 0 {
+				mapper.Route(packet, start.Add(c.next))
+				packet.Acknowledged = 1200
+			}
+			packet.Kind, packet.PayloadSize = zf.PacketClosing, 0
+			mapper.Route(packet, start.Add(c.closed))
+			zfassert.Equal(t, "answers", mapper.Loads()[0].Answers, 0)
 		})
-		mapper.Tick(start, view(row(1, "orders", "one")))
-		cookie := mapper.Route(opening(1, 0), start).Cookie
-		mapper.Route(data(1, cookie, 1), start)
-		closing := data(1, cookie, 101)
-		closing.Kind, closing.PayloadSize, closing.Acknowledged = zf.PacketClosing, 0, 600
-		mapper.Route(closing, start.Add(time.Second))
-		zfassert.Equal(t, "answers", mapper.Loads()[0].Answers, 0)
-	})
+	}
 }
