--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -106,8 +106,8 @@
 func (s *server) ended(now time.Time) bool { return !s.endsAt.IsZero() && !now.Before(s.endsAt) }
 
 // missesHeartbeats reports whether the backend server's heartbeats are certainly overdue.
-// Where a control instance that may receive them is silent itself, that is no evidence about the
-// backend server.
+// Where a control instance that may receive them is silent itself, that is no evidence about
+// the backend server.
 func (s *server) missesHeartbeats() bool { return s.Late && !s.Inferred }
 
 // New returns a mapper without routes and backend servers.
--- a/core/zfload/table.go
+++ b/core/zfload/table.go
@@ -13,9 +13,9 @@
 	zf "zinniafront"
 )
 
-// DecayTime is the time after which a request counts 1/e: a sum divided by it is a rate. Flows send a request every
-// one to three seconds; with the longest such time a row approximates the number of
-// flows of its backend server.
+// DecayTime is the time after which a request counts 1/e: a sum divided by it is a rate.
+// Flows send a request every one to three seconds; with the longest such time a row
+// approximates the number of flows of its backend server.
 const DecayTime = 3 * time.Second
 
 // decayedSums are exponentially decaying sums, valid at decayedAt.
--- a/io/zfcluster/peers.go
+++ b/io/zfcluster/peers.go
@@ -81,8 +81,8 @@
 }
 
 // peers removes expired subscribers and returns a few others than the sender, those in
-// its data centre first, the largest ones of these before smaller ones. A control instance of the same data centre gets all
-// subscribers of this feed.
+// its data centre first, the largest ones of these before smaller ones. A control
+// instance of the same data centre gets all subscribers of this feed.
 func (f *Feed) peers(args FetchArgs, now time.Time) []netip.AddrPort {
 	if !f.config.SharePeers {
 		return nil
--- a/ports.go
+++ b/ports.go
@@ -53,7 +53,8 @@
 	// the last call, for the backend servers that recently left some
 	// unanswered.
 	Outcomes() []Outcome
-	// Loads returns the requests to each backend server since the last call.
+	// Loads returns the loads of backend servers since the last call: requests and, if
+	// they are learned, answers and openings.
 	Loads() []ServerLoad
 	// EndedFlows returns the open flows whose backend server was found dead since
 	// the last call, or whose request stays unanswered in a data centre found
