Log and gauge the time until an entry instance can route packets

Cause: where the first second after an outage goes could be read from several lines only. Change: event 2015 with the time since the start and the packets that had waited; gauge start.time.

--- a/io/zfcounter/counter.go
+++ b/io/zfcounter/counter.go
@@ -61,7 +61,9 @@
 	PacketReceived  metrics.Counter
 	PacketForwarded metrics.Counter
 	// PacketHeld counts packets kept until the instance could route them.
-	PacketHeld    metrics.Counter
+	PacketHeld metrics.Counter
+	// StartTime is the time from the start of the instance until it could route packets.
+	StartTime     metrics.Gauge
 	PacketRelayed ReasonCounters
 	PacketDropped ReasonCounters
 	FlowReset     ReasonCounters
@@ -125,6 +127,7 @@
 		PacketReceived:  metrics.NewRegisteredCounter("packet.received", registry),
 		PacketForwarded: metrics.NewRegisteredCounter("packet.forwarded", registry),
 		PacketHeld:      metrics.NewRegisteredCounter("packet.held", registry),
+		StartTime:       metrics.NewRegisteredGauge("start.time", registry),
 		PacketRelayed:   newReasonCounters(registry, "packet.relayed"),
 		PacketDropped:   newReasonCounters(registry, "packet.dropped"),
 		FlowReset:       newReasonCounters(registry, "flow.reset"),
--- a/io/zfevent/event.go
+++ b/io/zfevent/event.go
@@ -48,6 +48,7 @@
 	// StrainChanged is logged with the use of each measured resource.
 	StrainChanged  = register(2013, "strain changed", log.WarnLevel)
 	StepOutChanged = register(2014, "leave from the rotation by permit", log.WarnLevel)
+	Routable       = register(2015, "packets can be routed", log.InfoLevel)
 )
 
 // The events of a control instance.
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -58,8 +58,10 @@
 	// flowsEndedHandler receives the open flows whose backend servers were found dead,
 	// to reset them at their callers.
 	flowsEndedHandler func(ended []zf.EndedFlow)
-	// routableHandler is called once the mapper can route packets.
-	routableHandler func()
+	// routableHandler is called once the mapper can route packets. It returns the number of
+	// those that had waited.
+	routableHandler func() int
+	startedAt       time.Time
 	// strainHandler receives each change of the strain.
 	strainHandler func(strain zf.Strain)
 	resources     resourceState
@@ -111,6 +113,7 @@
 		stopBegun: make(chan struct{}),
 
 		loggedServers: make(map[zf.ServerID]loggedServer),
+		startedAt:     config.Clock.Now(),
 	}
 	l.feed = zfcluster.NewFeed(zfcluster.FeedConfig{
 		Source: config.Source,
@@ -127,9 +130,9 @@
 // found dead, to reset them at their callers. Call it before Run.
 func (l *Loop) OnFlowsEnded(handler func(ended []zf.EndedFlow)) { l.flowsEndedHandler = handler }
 
-// OnRoutable sets the handler that is called once the mapper can route packets. Call it
-// before Run.
-func (l *Loop) OnRoutable(handler func()) { l.routableHandler = handler }
+// OnRoutable sets the handler that is called once the mapper can route packets and returns
+// the number of those that had waited. Call it before Run.
+func (l *Loop) OnRoutable(handler func() int) { l.routableHandler = handler }
 
 // Run applies the events in the inbox and runs all systems each tick until ctx is done.
 func (l *Loop) Run(ctx context.Context) {
@@ -176,7 +179,9 @@
 // answers fetches, and publishes and logs changes.
 func (l *Loop) flush() {
 	if l.routableHandler != nil && l.config.World.Mapper().Synced() {
-		l.routableHandler()
+		after := l.config.Clock.Now().Sub(l.startedAt)
+		l.config.Counters.StartTime.Update(int64(after))
+		l.config.Logger.Entry(zfevent.Routable).Dur("after", after).Int("held", l.routableHandler()).Msg("")
 		l.routableHandler = nil
 	}
 	if ended := l.config.World.EndedFlows(); len(ended) > 0 && l.flowsEndedHandler != nil {
--- a/io/zfforwardloop/loop_test.go
+++ b/io/zfforwardloop/loop_test.go
@@ -9,9 +9,11 @@
 	"time"
 
 	zf "zinniafront"
+	"zinniafront/core/zfbundle"
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
+	"zinniafront/io/zfcluster"
 	"zinniafront/io/zfcounter"
 	"zinniafront/io/zfevent"
 	"zinniafront/io/zfforwardloop"
@@ -91,6 +93,7 @@
 			Observer: cookies,
 			Registry: zfregistry.DefaultConfig(1, time.Second),
 		}),
+		Decode: func([]byte) (*zfbundle.Bundle, error) { return &zfbundle.Bundle{}, nil },
 		Source: 1,
 		Clock:  clock,
 		Logger: zfevent.New(zfevent.Config{
@@ -143,3 +146,26 @@
 		zfassert.True(t, "a tick at least each interval and pause", mapper.ticks.Load() >= int64(span/(tickInterval+pause)))
 	})
 }
+
+func TestRoutable(t *testing.T) {
+	loop, _ := newLoop(newManualClock(), nil)
+	calls := 0
+	loop.OnRoutable(func() int {
+		calls++
+		return 0
+	})
+	run(t, loop)
+	t.Run("an instance without tables releases nothing", func(t *testing.T) {
+		zfassert.Equal(t, "calls", calls, 0)
+	})
+	t.Run("the first state lets it route, once", func(t *testing.T) {
+		for range 2 {
+			loop.ApplyReply(zfcluster.FetchReply{
+				Index:    1,
+				Document: []byte("1"),
+			})
+		}
+		loop.FetchState(false)
+		zfassert.Equal(t, "calls", calls, 1)
+	})
+}
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -187,13 +187,15 @@
 	}
 }
 
-// ReleaseHeld routes the packets that arrived before the mapper could. Call it once the
-// mapper can.
-func (s *Sockets) ReleaseHeld() {
+// ReleaseHeld routes the packets that arrived before the mapper could, and returns their
+// number. Call it once the mapper can.
+func (s *Sockets) ReleaseHeld() int {
 	framing := s.config.Framing()
-	for _, frame := range s.config.Held.Release(s.config.Clock.Now()) {
+	frames := s.config.Held.Release(s.config.Clock.Now())
+	for _, frame := range frames {
 		s.handle(framing, frame, netip.AddrPort{})
 	}
+	return len(frames)
 }
 
 // route decides on one packet.
