Start the tests of a leave from the rotation by one function

Cause: four subtests of TestStepOut overloaded an instance until it had left. Change: newSteppedOut does that and asserts that it is out. "an overloaded instance leaves with a permit and returns after the load" had this assertion; "control instance lost between permit and return", "a permit that is not renewed ends" and "one that is asked to stop while it is out stops at once" gain it. No other assertion changes.

--- a/core/zfforward/stepout_test.go
+++ b/core/zfforward/stepout_test.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// newSteppedOut returns an instance that has left the rotation during an overload.
+func newSteppedOut(t testing.TB) *strained {
+	t.Helper()
+	s := newStrained(true)
+	s.run(12*time.Second, 1)
+	s.assertOut(t, true)
+	return s
+}
+
 // run measures a use of the processor each 200 ms, and gets a reply each half second.
 func (s *strained) run(d time.Duration, use float64) {
 	const tick = 100 * time.Millisecond
@@ -67,9 +76,7 @@
 		zfassert.True(t, "no request", !s.world.StepOutRequested())
 	})
 	t.Run("an overloaded instance leaves with a permit and returns after the load", func(t *testing.T) {
-		s := newStrained(true)
-		s.run(12*time.Second, 1)
-		s.assertOut(t, true)
+		s := newSteppedOut(t)
 		s.run(5*time.Second, 0.1)
 		s.assertOut(t, true)
 		s.run(7*time.Second, 0.1)
@@ -81,8 +88,7 @@
 		s.assertOut(t, false)
 	})
 	t.Run("control instance lost between permit and return", func(t *testing.T) {
-		s := newStrained(true)
-		s.run(12*time.Second, 1)
+		s := newSteppedOut(t)
 		s.replies = false
 		s.run(2500*time.Millisecond, 1)
 		s.assertOut(t, true)
@@ -90,8 +96,7 @@
 		s.assertOut(t, false)
 	})
 	t.Run("a permit that is not renewed ends", func(t *testing.T) {
-		s := newStrained(true)
-		s.run(12*time.Second, 1)
+		s := newSteppedOut(t)
 		s.permits = false
 		s.run(4*time.Second, 1)
 		s.assertOut(t, false)
@@ -107,8 +112,7 @@
 		s.assertOut(t, false)
 	})
 	t.Run("one that is asked to stop while it is out stops at once", func(t *testing.T) {
-		s := newStrained(true)
-		s.run(12*time.Second, 1)
+		s := newSteppedOut(t)
 		s.world.Stop(time.Minute, s.now)
 		zfassert.True(t, "stopping", s.world.Stopping())
 	})
