Derive shares and views less often in large fleets

Each change of a backend server rebuilt the view and all shares, up to ten times a second; a control instance derived its room four times a second, though decisions are made twice. Change: shares are derived with the loads; beyond 1,000 backend servers each more adds 0.1 ms to the time between two views, unless the control state changes; room each half second; pools are filled in the order of the view.

--- a/core/zfcontroller/room.go
+++ b/core/zfcontroller/room.go
@@ -10,7 +10,7 @@
 
 // roomInterval is the minimum time between two updates of the room from the loads, which
 // are sums over seconds.
-const roomInterval = 250 * time.Millisecond
+const roomInterval = 500 * time.Millisecond
 
 // room holds the table of what backend servers can take. It is updated when it is used.
 type room struct {
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -208,6 +208,7 @@
 	pools := make(map[zf.ServiceName]*pool)
 	stats := make(map[zf.ServerIncarnation]*serverStats, len(view.Servers))
 	successors := newSuccessors(view.Servers)
+	servers := make([]*server, 0, len(view.Servers)) // In the order of the view, which is nearly that of a pool.
 	for _, row := range view.Servers {
 		s := m.newServer(row, stats)
 		if s.missesHeartbeats() && !s.stats.termination.heartbeatLate {
@@ -219,8 +220,12 @@
 			continue // Cookie collision: the other backend server keeps the cookie.
 		}
 		next.cookies[s.cookie] = s
+		servers = append(servers, s)
 	}
-	for _, s := range next.cookies {
+	for _, s := range servers {
+		if next.cookies[s.cookie] != s {
+			continue
+		}
 		if pools[s.Service] == nil {
 			pools[s.Service] = &pool{
 				costOf:  m.config.Cost,
--- a/core/zfcookie/room.go
+++ b/core/zfcookie/room.go
@@ -17,6 +17,8 @@
 	table *zfroom.Table
 	// own sums what this instance reported.
 	own *zfload.Table
+	// servers are those of the last view while the table doesn't have them yet, or nil.
+	servers []zf.ServerView
 	// ownUpdated is when the table was last set to own.
 	ownUpdated time.Time
 	// routes holds the learned times of each route.
@@ -60,14 +62,33 @@
 	}
 }
 
-// setRoom applies a view to what is learned.
+// setRoom applies a view to what is learned. The table gets the backend servers with the next
+// loads, as deriving all shares costs more than a view; until then a new backend server has
+// the share of its weight.
 func (m *Mapper) setRoom(view zf.View, next *snapshot, stats map[zf.ServerIncarnation]*serverStats) {
 	if m.room == nil {
 		return
 	}
 	m.room.setRoutes(view.Routes, next.routes)
-	m.room.table.SetServers(view.Servers)
-	m.publishShares(stats)
+	m.room.servers = view.Servers
+	if m.totalsUpdated.IsZero() {
+		m.room.applyServers()
+		m.publishShares(stats)
+		return
+	}
+	for _, s := range next.cookies {
+		if s.stats.share.Load() == 0 {
+			s.stats.share.Store(math.Float64bits(s.Weight))
+		}
+	}
+}
+
+// applyServers passes the backend servers of the last view to the table.
+func (r *room) applyServers() {
+	if r.servers != nil {
+		r.table.SetServers(r.servers)
+		r.servers = nil
+	}
 }
 
 // setLearnedLoads learns from the total loads.
@@ -75,6 +96,7 @@
 	if m.room == nil {
 		return
 	}
+	m.room.applyServers()
 	m.room.table.SetLoads(loads, now)
 	m.publishShares(m.stats)
 }
@@ -92,6 +114,7 @@
 		return
 	}
 	m.room.ownUpdated = now
+	m.room.applyServers()
 	m.room.table.SetOwnLoads(m.room.own.Local(now), now)
 	m.publishShares(m.stats)
 }
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -100,7 +100,9 @@
 	// loadInterval is the time between two such reports.
 	loadInterval  time.Duration
 	viewRevisions revisions
-	departures    departures
+	// viewBuilt is when the view was last rebuilt.
+	viewBuilt  time.Time
+	departures departures
 }
 
 // restoredColdTime is how long the backend servers of a data centre count as cold
@@ -122,6 +124,25 @@
 	departures uint64
 }
 
+// urgent reports whether a view has to be rebuilt at once: the control state has changed, or
+// what this instance knows of it.
+func (r revisions) urgent(earlier revisions) bool {
+	return r.index != earlier.index || r.synced != earlier.synced || r.restored != earlier.restored || r.entryCount != earlier.entryCount
+}
+
+// A view is built from the rows of all backend servers, of which hundreds may change in a few
+// seconds. Up to promptRows it is rebuilt with each change; each row beyond them adds
+// viewIntervalPerRow to the minimum time between two views.
+const (
+	promptRows         = 1000
+	viewIntervalPerRow = 100 * time.Microsecond
+)
+
+// viewInterval returns the minimum time between two views that differ in backend servers only.
+func (w *World) viewInterval() time.Duration {
+	return time.Duration(max(len(w.view.Servers)-promptRows, 0)) * viewIntervalPerRow
+}
+
 // New returns a world without control state.
 func New(config Config) *World {
 	config.Registry.Subscriber = true
@@ -264,8 +285,9 @@
 		restored:   w.recentlyRestored(now),
 		departures: w.departures.revision,
 	}
-	if w.view.Revision == 0 || current != w.viewRevisions {
+	if w.view.Revision == 0 || current != w.viewRevisions && (current.urgent(w.viewRevisions) || now.Sub(w.viewBuilt) >= w.viewInterval()) {
 		w.viewRevisions = current
+		w.viewBuilt = now
 		w.view.RoutesKnown = w.synced && w.state.Bundle != nil
 		w.view.Routes = w.routes
 		w.view.Departures = w.departures.inForce
