Tell each entry instance its place among all of them

Cause: entry instances share the rate of a cold backend server, but each knows only how many there are. They can't take turns. Change: a reply to a fetch has the position of the sender: subscribers of one feed follow one another, feeds are ordered by their source. The view has the number of entry instances and the position. Older control instances leave it out (0, not known). Result: nothing uses it yet. core/zfforward, io/zfcluster, io/zfforwardloop and io/zfcontrollerloop pass.

--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -50,7 +50,10 @@
 	// EntryCount is the number of entry instances, this one included, or 0 if it is
 	// not known.
 	EntryCount int
-	Changes    zfregistry.Changes
+	// EntryPosition is the place of this instance among them, from 1 on, or 0 if it is not
+	// known.
+	EntryPosition int
+	Changes       zfregistry.Changes
 	// Loads are the total loads of the data centre, or nil.
 	Loads []zf.ServerLoad
 	// Departures and Limits are the decisions for the new flows of the data centre's
@@ -83,8 +86,9 @@
 	hasPeers  bool
 	isolated  bool
 	// entryCount is the number of entry instances that share the rate of new flows of
-	// a cold backend server.
-	entryCount int
+	// a cold backend server, entryPosition the place of this one among them.
+	entryCount    int
+	entryPosition int
 	// restored is when each data centre was last brought back into service.
 	restored map[zf.CentreName]time.Time
 	stop     plannedStop
@@ -111,9 +115,10 @@
 // revisions identifies the inputs of a view. A view is rebuilt when one of them has
 // changed.
 type revisions struct {
-	servers    uint64
-	index      uint64
-	entryCount int
+	servers       uint64
+	index         uint64
+	entryCount    int
+	entryPosition int
 	// synced is World.synced.
 	synced bool
 	// restored is the number of data centres recently brought back into service.
@@ -190,6 +195,7 @@
 	w.isolated = false
 	if reply.EntryCount > 0 {
 		w.entryCount = reply.EntryCount
+		w.entryPosition = reply.EntryPosition
 	}
 	w.registry.Merge(reply.Changes, now)
 	if reply.Loads != nil {
@@ -257,18 +263,21 @@
 func (w *World) tickMapper(now time.Time) {
 	w.departures.expire(now)
 	current := revisions{
-		servers:    w.registry.ContentRevision(),
-		index:      w.state.Index,
-		entryCount: w.entryCount,
-		synced:     w.synced,
-		restored:   w.recentlyRestored(now),
-		departures: w.departures.revision,
+		servers:       w.registry.ContentRevision(),
+		index:         w.state.Index,
+		entryCount:    w.entryCount,
+		entryPosition: w.entryPosition,
+		synced:        w.synced,
+		restored:      w.recentlyRestored(now),
+		departures:    w.departures.revision,
 	}
 	if w.view.Revision == 0 || current != w.viewRevisions {
 		w.viewRevisions = current
 		w.view.RoutesKnown = w.synced && w.state.Bundle != nil
 		w.view.Routes = w.routes
 		w.view.Departures = w.departures.inForce
+		w.view.EntryCount = max(w.entryCount, 1)
+		w.view.EntryPosition = w.entryPosition
 		w.view.Servers = w.limitColdServers(w.registry.View(w.state.Out), now)
 		w.view.Revision++
 	}
--- a/core/zfforward/world_test.go
+++ b/core/zfforward/world_test.go
@@ -237,9 +237,10 @@
 		Registry: zfregistry.DefaultConfig(1, time.Second),
 	})
 	reply := zfforward.Reply{
-		EntryCount: 8,
-		Changes:    changes("one"),
-		State:      state(1, "orders"),
+		EntryCount:    8,
+		EntryPosition: 3,
+		Changes:       changes("one"),
+		State:         state(1, "orders"),
 	}
 	reply.State.Bundle.Services = []zfbundle.Service{{
 		Name: "orders",
@@ -253,6 +254,8 @@
 	reply.Changes.Updates[0].Cold = time.Second
 	world.ApplyReply(reply, start)
 	zfassert.Equal(t, "share of the rate of a cold server", recorder.last.Servers[0].OpeningRate, 0.5)
+	zfassert.Equal(t, "number of instances", recorder.last.EntryCount, 8)
+	zfassert.Equal(t, "position of this one", recorder.last.EntryPosition, 3)
 	t.Run("the servers of a restored data centre count as cold for a while", func(t *testing.T) {
 		warm := zfforward.Reply{
 			Changes: changes("one"),
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -141,7 +141,9 @@
 	subscribers []netip.AddrPort
 	sameCentre  bool
 	count       int
-	lastReply   time.Time
+	// source identifies the run of the feed's process.
+	source    uint64
+	lastReply time.Time
 }
 
 // NewFeed returns a feed without subscribers.
@@ -161,6 +163,7 @@
 		subscribers: reply.Peers,
 		sameCentre:  reply.Near,
 		count:       reply.Entries,
+		source:      reply.Source,
 		lastReply:   now,
 	}
 }
@@ -208,6 +211,27 @@
 	return count
 }
 
+// entryPosition returns the place of the sender of a fetch among all entry instances, from
+// 1 on, or 0 if it is not one of this feed's subscribers. The subscribers of each feed
+// follow one another, the feeds are ordered by their sources.
+func (f *Feed) entryPosition(args FetchArgs) int {
+	if _, ok := f.subscribers[args.Address]; !ok || !f.config.SharePeers || args.Control {
+		return 0
+	}
+	position := 1
+	for address := range f.subscribers {
+		if address.Compare(args.Address) < 0 {
+			position++
+		}
+	}
+	for _, remote := range f.remoteFeeds {
+		if remote.source < f.config.Source {
+			position += remote.count
+		}
+	}
+	return position
+}
+
 // Recognizes reports whether the cursor of a fetch was issued by this feed.
 func (f *Feed) Recognizes(args FetchArgs) bool { return args.Source == f.config.Source }
 
@@ -278,6 +302,7 @@
 		Peers:    f.peers(args, now),
 		Near:     f.isLocalControl(args),
 		Entries:  f.entryCount(!args.Control, now),
+		Position: f.entryPosition(args),
 		Turn:     f.stopPermitted(args, now),
 		StepOut:  f.stepOutPermitted(args, now),
 		Wait:     f.mustWait(args),
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -371,6 +371,38 @@
 	})
 }
 
+// TestPositions checks that no two of all entry instances have the same position.
+func TestPositions(t *testing.T) {
+	const subscribers, others = 7, 4
+	for name, source := range map[string]uint64{
+		"before those of another feed": 9,
+		"after those of another feed":  3,
+	} {
+		t.Run(name, func(t *testing.T) {
+			feed := newFeed(newTestFeedData())
+			feed.RecordRemote(netip.MustParseAddrPort("10.9.0.9:7000"), zfcluster.FetchReply{
+				Source:  source,
+				Entries: others,
+			}, start)
+			for range 2 {
+				for i := range subscribers {
+					assertAnswered(t, feed, subscriberArgs(i+1, "one"))
+				}
+			}
+			first := 1
+			if source < 7 {
+				first += others
+			}
+			for i := range subscribers {
+				zfassert.Equal(t, "position", assertAnswered(t, feed, subscriberArgs(i+1, "one")).Position, first+i)
+			}
+			zfassert.Equal(t, "position of a control instance", assertAnswered(t, feed, zfcluster.FetchArgs{
+				Control: true,
+			}).Position, 0)
+		})
+	}
+}
+
 func TestPeers(t *testing.T) {
 	feed := newFeed(newTestFeedData())
 	for i := range 6 {
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -160,6 +160,9 @@
 	// Entries is the number of known entry instances; in a reply to a control instance,
 	// that of the replying instance's own subscribers.
 	Entries int
+	// Position is the place of the sender of the fetch among the known entry instances,
+	// from 1 on; 0 in a reply to a control instance.
+	Position int
 	// Wait is set if the sender of the fetch must not enter the rotation yet.
 	Wait bool
 	// Counts are the entry instances of each data centre that report to the replying
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -265,6 +265,7 @@
 		Changes:       reply.Changes,
 		HasPeers:      len(reply.Peers) > 0,
 		EntryCount:    reply.Entries,
+		EntryPosition: reply.Position,
 		Loads:         reply.Loads,
 		Departures:    reply.Departures,
 		Limits:        reply.Limits,
--- a/value.go
+++ b/value.go
@@ -565,6 +565,11 @@
 	Members     []MemberView
 	Servers     []ServerView
 	Services    []ServiceView
+	// EntryCount is the number of entry instances of all data centres that share the
+	// OpeningRate of cold backend servers, or 0 if there is only this one. EntryPosition
+	// is the place of Self among them, from 1 on, or 0 if it is not known.
+	EntryCount    int
+	EntryPosition int
 	// Departures and Limits are the decisions that apply to the new flows of this data
 	// centre's callers.
 	Departures []Departure
