Have entry instances take turns at a cold backend server

Cause: each entry instance sent a cold backend server its first new flow at once, so that N idle instances together sent N in one moment (TestColdElsewhere: 20 in a second, 16 allowed). Change: an instance may open a flow there once in a window of each period. Windows follow one another by the instance's position, begin at a phase given by the server's cookie, and stay open 0.25 s beyond the turn; an unused turn is lost. Without the position the phase comes from a hash of the instance's name. A single instance has the whole period. Departures go to no cold server as before. Without ColdRate nothing changes. Tests: TestColdElsewhere gets the number and position of each instance, as a view has them now; its bound is as it was. TestColdTogether holds the rule's bound for instances that begin, join, leave, restart, or see the server at different times, for clocks that differ and unknown positions, and that under pressure at most a fifth of the rate stays unused. With windows that are always open 12 of its 21 cases and TestColdElsewhere fail. Result: both pass, and all tests of core/zfcookie.

--- a/core/zfcookie/departure.go
+++ b/core/zfcookie/departure.go
@@ -24,8 +24,7 @@
 const departureMix = 0x9e3779b97f4a7c15
 
 // setDeparture sets the shares of new flows that leave. Data centres without usable backend
-// servers get none. Nor do cold ones: the entry instances of all data centres together would
-// exceed their rate, as each may send its first new flow at once.
+// servers get none. Nor do cold ones: they need their rate for the flows that have no other place.
 func (m *Mapper) setDeparture(p *pool, view zf.Departure) {
 	sum := 0.0
 	for _, to := range view.To {
--- a/core/zfcookie/mapper.go
+++ b/core/zfcookie/mapper.go
@@ -188,6 +188,8 @@
 	stats  *serverStats
 	// endsAt is termination.endsAt, for the traffic goroutines.
 	endsAt time.Time
+	// window is set if OpeningRate is.
+	window openingWindow
 }
 
 // ended reports whether the backend server has certainly ended.
@@ -303,6 +305,9 @@
 		}
 		s.stats.termination.update(s, successors.hasSuccessor(row), now)
 		s.endsAt = s.stats.termination.endsAt
+		if s.OpeningRate > 0 {
+			s.window = newOpeningWindow(s.OpeningRate, &view, s.cookie)
+		}
 		if other := next.cookies[s.cookie]; other != nil && !replaces(s, other) {
 			continue // Cookie collision: the other backend server keeps the cookie.
 		}
--- a/core/zfcookie/opening_test.go
+++ b/core/zfcookie/opening_test.go
@@ -492,6 +492,13 @@
 	packet := data(1, zfcookie.CookieOf("s1", start), 1)
 	zfassert.Equal(t, "allocations per packet", testing.AllocsPerRun(100, func() { mapper.Route(packet, start) }), 0.0)
 	zfassert.Equal(t, "allocations per new flow", testing.AllocsPerRun(100, func() { mapper.Route(opening(1, 0), start) }), 0.0)
+	cold := row(1, "orders", "one")
+	cold.State, cold.OpeningRate = zf.ServerCold, 1e6
+	mapper, now := newOpeningMapper(view(cold)), start
+	zfassert.Equal(t, "allocations per new flow of a cold backend server", testing.AllocsPerRun(100, func() {
+		now = now.Add(time.Millisecond)
+		mapper.Route(opening(1, 0), now)
+	}), 0.0)
 }
 
 func BenchmarkOpening(b *testing.B) {
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -55,7 +55,7 @@
 // allows reports whether a backend server may get a new flow. The rate of new flows of
 // a cold one is limited by OpeningRate.
 func (o openingPacket) allows(s *server) bool {
-	return s.OpeningRate == 0 || s.stats.mayOpen(o.now)
+	return s.OpeningRate == 0 || s.stats.mayOpen(s.window, o.now)
 }
 
 // choose returns a backend server for a new flow, or nil if there is none. Each
@@ -78,7 +78,7 @@
 	if probe && !(s.stats.acquireProbe(o.now) && o.acquireOpeningProbe(s)) {
 		return false
 	}
-	return s.OpeningRate == 0 || s.stats.acquireOpening(s.OpeningRate, o.now)
+	return s.OpeningRate == 0 || s.stats.acquireOpening(s.window, o.now)
 }
 
 // find selects the backend server for choose. probe is set if the backend server may
--- a/core/zfcookie/stats.go
+++ b/core/zfcookie/stats.go
@@ -145,17 +145,22 @@
 	s.centre.recordAnswer(now)
 }
 
-// acquireOpening reports whether a cold backend server that sustains rate new flows per
-// second may get one now. If so, the next one is allowed after 1/rate seconds.
-func (s *serverStats) acquireOpening(rate float64, now time.Time) bool {
+// acquireOpening reports whether a cold backend server may get a new flow now. If so, the
+// next one is allowed in the next window, which is half a period later at least: windows
+// move when the number of entry instances changes.
+func (s *serverStats) acquireOpening(window openingWindow, now time.Time) bool {
 	due := s.nextOpening.Load()
-	next := max(due, now.UnixNano()) + int64(float64(time.Second)/rate)
-	return now.UnixNano() >= due && s.nextOpening.CompareAndSwap(due, next)
+	began, open := window.at(now)
+	next := max(began+int64(window.period), now.UnixNano()+int64(window.period/2))
+	return open && now.UnixNano() >= due && s.nextOpening.CompareAndSwap(due, next)
 }
 
 // mayOpen reports whether a cold backend server may get a new flow now, without
 // acquiring it.
-func (s *serverStats) mayOpen(now time.Time) bool { return now.UnixNano() >= s.nextOpening.Load() }
+func (s *serverStats) mayOpen(window openingWindow, now time.Time) bool {
+	_, open := window.at(now)
+	return open && now.UnixNano() >= s.nextOpening.Load()
+}
 
 // unresponsive reports whether the backend server has left packets unanswered for long
 // enough to be considered dead if its heartbeats are overdue as well.
