Bound cold backend servers also while control instances start

Cause: a control instance that has just started knows its own subscribers only. Their number was taken for that of all, and their positions were given twice: several instances had the same turn at a cold server and too large a share. An instance that doesn't know its position takes every other turn, as turns may coincide and others that start may not be counted yet.

--- a/core/zfcookie/window.go
+++ b/core/zfcookie/window.go
@@ -29,7 +29,9 @@
 }
 
 // newOpeningWindow returns the window of Self at the backend server of a cookie, to which
-// each instance may open rate new flows a second.
+// each instance may open rate new flows a second. An instance that does not know its position
+// takes its turn in every other period only: turns may coincide, and other instances may have
+// started as well that are not counted yet.
 func newOpeningWindow(rate float64, view *zf.View, cookie zf.Cookie) openingWindow {
 	period := time.Duration(min(max(float64(time.Second)/rate, 1), float64(maxOpeningPeriod)))
 	count := max(view.EntryCount, 1)
@@ -38,6 +40,7 @@
 	if view.EntryPosition > 0 {
 		phase += time.Duration(float64(period) / float64(count) * float64(view.EntryPosition%count))
 	} else if count > 1 {
+		period *= 2
 		phase += scaled(xxh3.HashString(string(view.Self)), period)
 	}
 	return openingWindow{
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -127,6 +127,8 @@
 	// remoteFeeds holds what other feeds reported of their subscribers, by the feed's
 	// address.
 	remoteFeeds map[netip.AddrPort]remoteFeed
+	// firstFetch is when the first fetch came in.
+	firstFetch time.Time
 	// pages caches the latest pages of backend servers that were sent to entry instances.
 	pages map[pageKey]page
 	// figuresSent is when each control instance was last sent the figures of this data
@@ -193,7 +195,8 @@
 }
 
 // entryCount returns the number of entry instances that subscribe to this feed, or
-// to any feed if total is set. It removes remote feeds whose last reply is too old;
+// to any feed if total is set. Feeds that have not been heard since the start count as much
+// as the others do on average. It removes remote feeds whose last reply is too old;
 // expired subscribers must have been removed by peers before.
 func (f *Feed) entryCount(total bool, now time.Time) int {
 	if !f.config.SharePeers {
@@ -208,14 +211,27 @@
 			count += remote.count
 		}
 	}
+	if total {
+		count += count * f.unheardFeeds(now) / (1 + len(f.remoteFeeds))
+	}
 	return count
 }
 
+// unheardFeeds returns the number of control instances that have not replied since this
+// one started. Those that don't within remoteTimeout are taken for lost.
+func (f *Feed) unheardFeeds(now time.Time) int {
+	if now.Sub(f.firstFetch) >= remoteTimeout {
+		return 0
+	}
+	return max(len(f.config.Data.Controls(now))-1-len(f.remoteFeeds), 0)
+}
+
 // entryPosition returns the place of the sender of a fetch among all entry instances, from
-// 1 on, or 0 if it is not one of this feed's subscribers. The subscribers of each feed
-// follow one another, the feeds are ordered by their sources.
-func (f *Feed) entryPosition(args FetchArgs) int {
-	if _, ok := f.subscribers[args.Address]; !ok || !f.config.SharePeers || args.Control {
+// 1 on, or 0 if it is not one of this feed's subscribers or not all feeds are known. The
+// subscribers of each feed follow one another, the feeds are ordered by their sources.
+func (f *Feed) entryPosition(args FetchArgs, now time.Time) int {
+	_, subscribes := f.subscribers[args.Address]
+	if !subscribes || !f.config.SharePeers || args.Control || f.unheardFeeds(now) > 0 {
 		return 0
 	}
 	position := 1
@@ -240,6 +256,9 @@
 	if !f.Recognizes(args) {
 		args.Cursor = 0
 	}
+	if f.firstFetch.IsZero() {
+		f.firstFetch = now
+	}
 	if args.Address.IsValid() && !args.Control {
 		row := subscriberRow{
 			centre:    args.Centre,
@@ -302,7 +321,7 @@
 		Peers:    f.peers(args, now),
 		Near:     f.isLocalControl(args),
 		Entries:  f.entryCount(!args.Control, now),
-		Position: f.entryPosition(args),
+		Position: f.entryPosition(args, now),
 		Turn:     f.stopPermitted(args, now),
 		StepOut:  f.stepOutPermitted(args, now),
 		Wait:     f.mustWait(args),
