--- a/explain.go
+++ b/explain.go
@@ -83,7 +83,8 @@
 	ExclusionNone Exclusion = iota
 	// ExclusionPrevious means that the packet before went there without an answer.
 	ExclusionPrevious
-	// ExclusionCold means that the backend server is cold and has got its new flows.
+	// ExclusionCold means that the backend server is cold and it is not this instance's turn
+	// to open a flow there.
 	ExclusionCold
 	// ExclusionUnanswered means that it left a packet unanswered and is only probed.
 	ExclusionUnanswered
