--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -119,6 +119,8 @@
 	// remoteFeeds holds what other feeds reported of their subscribers, by the feed's
 	// address.
 	remoteFeeds map[netip.AddrPort]remoteFeed
+	// firstFetch is when the first fetch came in.
+	firstFetch time.Time
 	// pages caches the latest pages of backend servers that were sent to entry instances.
 	pages map[pageKey]page
 	// figuresSent is when each control instance was last sent the figures of this data
@@ -145,6 +147,9 @@
 	if !f.Recognizes(args) {
 		args.Cursor = 0
 	}
+	if f.firstFetch.IsZero() {
+		f.firstFetch = now
+	}
 	if args.Address.IsValid() && !args.Control {
 		row := subscriberRow{
 			centre:    args.Centre,
@@ -207,6 +212,7 @@
 		Peers:    f.peers(args, now),
 		Near:     f.isLocalControl(args),
 		Entries:  f.entryCount(!args.Control, now),
+		Position: f.entryPosition(args, now),
 		Turn:     f.stopPermitted(args, now),
 		StepOut:  f.stepOutPermitted(args, now),
 		Wait:     f.mustWait(args),
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -27,6 +27,7 @@
 	mustWait      bool
 
 	stepOutPermitted bool
+	controls         []zfquorum.Node
 }
 
 func newTestFeedData() *testFeedData {
@@ -86,7 +87,7 @@
 	}}
 }
 
-func (s *testFeedData) Controls(time.Time) []zfquorum.Node { return nil }
+func (s *testFeedData) Controls(time.Time) []zfquorum.Node { return s.controls }
 
 func (s *testFeedData) announce(sequence uint64) {
 	s.registry.Announce(zf.Announcement{
--- a/io/zfcluster/peers.go
+++ b/io/zfcluster/peers.go
@@ -24,7 +24,9 @@
 	subscribers []netip.AddrPort
 	sameCentre  bool
 	count       int
-	lastReply   time.Time
+	// source identifies the run of the feed's process.
+	source    uint64
+	lastReply time.Time
 }
 
 // RecordRemote records the subscribers that another feed reported in a reply.
@@ -33,6 +35,7 @@
 		subscribers: reply.Peers,
 		sameCentre:  reply.Near,
 		count:       reply.Entries,
+		source:      reply.Source,
 		lastReply:   now,
 	}
 }
@@ -62,7 +65,8 @@
 }
 
 // entryCount returns the number of entry instances that subscribe to this feed, or
-// to any feed if total is set. It removes remote feeds whose last reply is too old;
+// to any feed if total is set. Feeds that have not been heard since the start count as much
+// as the others do on average. It removes remote feeds whose last reply is too old;
 // expired subscribers must have been removed by peers before.
 func (f *Feed) entryCount(total bool, now time.Time) int {
 	if !f.config.SharePeers {
@@ -77,9 +81,43 @@
 			count += remote.count
 		}
 	}
+	if total {
+		count += count * f.unheardFeeds(now) / (1 + len(f.remoteFeeds))
+	}
 	return count
 }
 
+// unheardFeeds returns the number of control instances that have not replied since this
+// one started. Those that don't within remoteTimeout are taken for lost.
+func (f *Feed) unheardFeeds(now time.Time) int {
+	if now.Sub(f.firstFetch) >= remoteTimeout {
+		return 0
+	}
+	return max(len(f.config.Data.Controls(now))-1-len(f.remoteFeeds), 0)
+}
+
+// entryPosition returns the place of the sender of a fetch among all entry instances, from
+// 1 on, or 0 if it is not one of this feed's subscribers or not all feeds are known. The
+// subscribers of each feed follow one another, the feeds are ordered by their sources.
+func (f *Feed) entryPosition(args FetchArgs, now time.Time) int {
+	_, subscribes := f.subscribers[args.Address]
+	if !subscribes || !f.config.SharePeers || args.Control || f.unheardFeeds(now) > 0 {
+		return 0
+	}
+	position := 1
+	for address := range f.subscribers {
+		if address.Compare(args.Address) < 0 {
+			position++
+		}
+	}
+	for _, remote := range f.remoteFeeds {
+		if remote.source < f.config.Source {
+			position += remote.count
+		}
+	}
+	return position
+}
+
 // peers removes expired subscribers and returns a few others than the sender, those in
 // its data centre first, the largest ones of these before smaller ones. A control
 // instance of the same data centre gets all subscribers of this feed.
--- a/io/zfcluster/peers_test.go
+++ b/io/zfcluster/peers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	zf "zinniafront"
+	"zinniafront/core/zfquorum"
 	"zinniafront/io/zfcluster"
 	"zinniafront/lab/zfassert"
 )
@@ -48,6 +49,71 @@
 	})
 }
 
+// TestPositions checks that no two of all entry instances have the same position.
+func TestPositions(t *testing.T) {
+	const subscribers, others = 7, 4
+	for name, source := range map[string]uint64{
+		"before those of another feed": 9,
+		"after those of another feed":  3,
+	} {
+		t.Run(name, func(t *testing.T) {
+			feed := newFeed(newTestFeedData())
+			feed.RecordRemote(netip.MustParseAddrPort("10.9.0.9:7000"), zfcluster.FetchReply{
+				Source:  source,
+				Entries: others,
+			}, start)
+			for range 2 {
+				for i := range subscribers {
+					assertAnswered(t, feed, subscriberArgs(i+1, "one"))
+				}
+			}
+			first := 1
+			if source < 7 {
+				first += others
+			}
+			for i := range subscribers {
+				zfassert.Equal(t, "position", assertAnswered(t, feed, subscriberArgs(i+1, "one")).Position, first+i)
+			}
+			zfassert.Equal(t, "position of a control instance", assertAnswered(t, feed, zfcluster.FetchArgs{
+				Control: true,
+			}).Position, 0)
+		})
+	}
+}
+
+// TestEntriesAfterStart checks that entry instances don't take the whole rate of a cold
+// backend server while control instances that have just started don't know each other's.
+func TestEntriesAfterStart(t *testing.T) {
+	data := newTestFeedData()
+	data.controls = make([]zfquorum.Node, 4)
+	feed := newFeed(data)
+	assertEntries := func(t *testing.T, at time.Time, count, position int) {
+		t.Helper()
+		for i := range 5 {
+			fetch(feed, subscriberArgs(i+1, "one"), at)
+		}
+		reply, _ := fetch(feed, subscriberArgs(1, "one"), at)
+		zfassert.Equal(t, "entry instances", reply.Entries, count)
+		zfassert.Equal(t, "position", reply.Position, position)
+	}
+	t.Run("the others count as much", func(t *testing.T) { assertEntries(t, start, 20, 0) })
+	t.Run("as the mean of those that were heard", func(t *testing.T) {
+		feed.RecordRemote(netip.MustParseAddrPort("10.9.0.9:7000"), zfcluster.FetchReply{
+			Source:  9,
+			Entries: 7,
+		}, start)
+		assertEntries(t, start, 24, 0)
+	})
+	t.Run("lost ones don't count later", func(t *testing.T) {
+		assertEntries(t, start.Add(9*time.Second), 24, 0)
+		feed.RecordRemote(netip.MustParseAddrPort("10.9.0.9:7000"), zfcluster.FetchReply{
+			Source:  9,
+			Entries: 7,
+		}, start.Add(9*time.Second))
+		assertEntries(t, start.Add(10*time.Second), 12, 1)
+	})
+}
+
 func TestPeers(t *testing.T) {
 	feed := newFeed(newTestFeedData())
 	for i := range 6 {
