--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -50,7 +50,10 @@
 	// EntryCount is the number of entry instances, this one included, or 0 if it is
 	// not known.
 	EntryCount int
-	Changes    zfregistry.Changes
+	// EntryPosition is the place of this instance among them, from 1 on, or 0 if it is not
+	// known.
+	EntryPosition int
+	Changes       zfregistry.Changes
 	// Loads are the total loads of the data centre, or nil.
 	Loads []zf.ServerLoad
 	// Departures and Limits are the decisions for the new flows of the data centre's
@@ -83,8 +86,11 @@
 	hasPeers  bool
 	isolated  bool
 	// entryCount is the number of entry instances that share the rate of new flows of
-	// a cold backend server.
-	entryCount int
+	// a cold backend server, entryPosition the place of this one among them.
+	entryCount    int
+	entryPosition int
+	// limitsCold is set if the bundle states such a rate.
+	limitsCold bool
 	// restored is when each data centre was last brought back into service.
 	restored map[zf.CentreName]time.Time
 	stop     plannedStop
@@ -100,7 +106,9 @@
 	// loadInterval is the time between two such reports.
 	loadInterval  time.Duration
 	viewRevisions revisions
-	departures    departures
+	// viewBuilt is when the view was last rebuilt.
+	viewBuilt  time.Time
+	departures departures
 }
 
 // restoredColdTime is how long the backend servers of a data centre count as cold
@@ -111,9 +119,10 @@
 // revisions identifies the inputs of a view. A view is rebuilt when one of them has
 // changed.
 type revisions struct {
-	servers    uint64
-	index      uint64
-	entryCount int
+	servers       uint64
+	index         uint64
+	entryCount    int
+	entryPosition int
 	// synced is World.synced.
 	synced bool
 	// restored is the number of data centres recently brought back into service.
@@ -122,6 +131,25 @@
 	departures uint64
 }
 
+// urgent reports whether a view has to be rebuilt at once: the control state has changed, or
+// what this instance knows of it.
+func (r revisions) urgent(earlier revisions) bool {
+	return r.index != earlier.index || r.synced != earlier.synced || r.restored != earlier.restored || r.entryCount != earlier.entryCount
+}
+
+// A view is built from the rows of all backend servers, of which hundreds may change in a few
+// seconds. Up to promptRows it is rebuilt with each change; each row beyond them adds
+// viewIntervalPerRow to the minimum time between two views.
+const (
+	promptRows         = 1000
+	viewIntervalPerRow = 100 * time.Microsecond
+)
+
+// viewInterval returns the minimum time between two views that differ in backend servers only.
+func (w *World) viewInterval() time.Duration {
+	return time.Duration(max(len(w.view.Servers)-promptRows, 0)) * viewIntervalPerRow
+}
+
 // New returns a world without control state.
 func New(config Config) *World {
 	config.Registry.Subscriber = true
@@ -190,6 +218,7 @@
 	w.isolated = false
 	if reply.EntryCount > 0 {
 		w.entryCount = reply.EntryCount
+		w.entryPosition = reply.EntryPosition
 	}
 	w.registry.Merge(reply.Changes, now)
 	if reply.Loads != nil {
@@ -220,9 +249,13 @@
 	}
 	w.state = state
 	w.routes = nil
+	w.limitsCold = false
 	if state.Bundle == nil {
 		return
 	}
+	for _, service := range state.Bundle.Services {
+		w.limitsCold = w.limitsCold || service.Pool.ColdRate > 0
+	}
 	w.routes = make([]zf.RouteView, 0, len(state.Bundle.Routes))
 	for _, route := range state.Bundle.Routes {
 		w.routes = append(w.routes, route.View())
@@ -259,16 +292,22 @@
 	current := revisions{
 		servers:    w.registry.ContentRevision(),
 		index:      w.state.Index,
-		entryCount: w.entryCount,
 		synced:     w.synced,
 		restored:   w.recentlyRestored(now),
 		departures: w.departures.revision,
 	}
-	if w.view.Revision == 0 || current != w.viewRevisions {
+	if w.limitsCold {
+		current.entryCount = w.entryCount
+		current.entryPosition = w.entryPosition
+	}
+	if w.view.Revision == 0 || current != w.viewRevisions && (current.urgent(w.viewRevisions) || now.Sub(w.viewBuilt) >= w.viewInterval()) {
 		w.viewRevisions = current
+		w.viewBuilt = now
 		w.view.RoutesKnown = w.synced && w.state.Bundle != nil
 		w.view.Routes = w.routes
 		w.view.Departures = w.departures.inForce
+		w.view.EntryCount = max(w.entryCount, 1)
+		w.view.EntryPosition = w.entryPosition
 		w.view.Servers = w.limitColdServers(w.registry.View(w.state.Out), now)
 		w.view.Revision++
 	}
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -58,8 +57,10 @@
 	// flowsEndedHandler receives the open flows whose backend servers were found dead,
 	// to reset them at their callers.
 	flowsEndedHandler func(ended []zf.EndedFlow)
-	// routableHandler is called once the mapper can route packets.
-	routableHandler func()
+	// routableHandler is called once the mapper can route packets. It returns the number of
+	// those that had waited.
+	routableHandler func() int
+	startedAt       time.Time
 	// strainHandler receives each change of the strain.
 	strainHandler func(strain zf.Strain)
 	resources     resourceState
@@ -93,14 +94,6 @@
 	bundle   *zfbundle.Bundle
 }
 
-// loggedServer is the part of a backend server's state whose changes are logged.
-type loggedServer struct {
-	status   zf.ServerState
-	late     bool
-	inferred bool
-	suspect  bool
-}
-
 // New returns a loop that is not running yet.
 func New(config Config) *Loop {
 	l := &Loop{
@@ -111,6 +104,7 @@
 		stopBegun: make(chan struct{}),
 
 		loggedServers: make(map[zf.ServerID]loggedServer),
+		startedAt:     config.Clock.Now(),
 	}
 	l.feed = zfcluster.NewFeed(zfcluster.FeedConfig{
 		Source: config.Source,
@@ -127,9 +121,9 @@
 // found dead, to reset them at their callers. Call it before Run.
 func (l *Loop) OnFlowsEnded(handler func(ended []zf.EndedFlow)) { l.flowsEndedHandler = handler }
 
-// OnRoutable sets the handler that is called once the mapper can route packets. Call it
-// before Run.
-func (l *Loop) OnRoutable(handler func()) { l.routableHandler = handler }
+// OnRoutable sets the handler that is called once the mapper can route packets and returns
+// the number of those that had waited. Call it before Run.
+func (l *Loop) OnRoutable(handler func() int) { l.routableHandler = handler }
 
 // Run applies the events in the inbox and runs all systems each tick until ctx is done.
 func (l *Loop) Run(ctx context.Context) {
@@ -176,7 +170,9 @@
 // answers fetches, and publishes and logs changes.
 func (l *Loop) flush() {
 	if l.routableHandler != nil && l.config.World.Mapper().Synced() {
-		l.routableHandler()
+		after := l.config.Clock.Now().Sub(l.startedAt)
+		l.config.Counters.StartTime.Update(int64(after))
+		l.config.Logger.Entry(zfevent.Routable).Dur("after", after).Int("held", l.routableHandler()).Msg("")
 		l.routableHandler = nil
 	}
 	if ended := l.config.World.EndedFlows(); len(ended) > 0 && l.flowsEndedHandler != nil {
@@ -265,6 +261,7 @@
 		Changes:       reply.Changes,
 		HasPeers:      len(reply.Peers) > 0,
 		EntryCount:    reply.Entries,
+		EntryPosition: reply.Position,
 		Loads:         reply.Loads,
 		Departures:    reply.Departures,
 		Limits:        reply.Limits,
@@ -332,68 +329,3 @@
 	}
 	entry.Msg("")
 }
-
-// publishChanges publishes and logs the readiness and the changes of backend servers, and
-// closes stopBegun once a planned stop has begun.
-func (l *Loop) publishChanges() {
-	world := l.config.World
-	if ready := world.Ready(); ready != l.ready.Load() {
-		l.ready.Store(ready)
-		l.config.Logger.Entry(zfevent.ReadyChanged).Bool("ready", ready).Bool("isolated", world.Isolated()).Msg("")
-	}
-	l.publishStrain()
-	if waiting := world.WaitsToEnter(); waiting != l.loggedWaiting {
-		l.loggedWaiting = waiting
-		l.config.Logger.Entry(zfevent.EntryWaits).Bool("waits", waiting).Msg("")
-	}
-	if world.Stopping() && !l.stopBegunClosed {
-		l.stopBegunClosed = true
-		close(l.stopBegun)
-	}
-	if centres := world.UnresponsiveCentres(l.config.Clock.Now()); !slices.Equal(centres, l.loggedCentres) {
-		l.loggedCentres = centres
-		l.config.Logger.Entry(zfevent.CentresUnresponsive).Strs("centres", centreNames(centres)).Msg("")
-	}
-	l.logOpenings(world.OpeningVerdicts())
-	if world.Registry().ContentRevision() == l.loggedContentRevision {
-		return
-	}
-	l.loggedContentRevision = world.Registry().ContentRevision()
-	for _, row := range world.Registry().Rows() {
-		current := loggedServer{
-			status:   row.Status,
-			late:     row.Late,
-			inferred: row.Inferred(),
-			suspect:  !row.SuspectUntil.IsZero(),
-		}
-		if previous, ok := l.loggedServers[row.ID]; ok && previous == current {
-			continue
-		}
-		l.loggedServers[row.ID] = current
-		l.config.Logger.Entry(zfevent.ServerStateChanged).Str("server", string(row.Server)).Time("born", row.Born).
-			Str("state", row.Status.String()).Bool("proven", row.Proven).Bool("late", row.Late).Bool("inferred", current.inferred).Bool("suspect", current.suspect).Str("address", row.Address.String()).
-			Str("centre", string(row.Centre)).Uint64("sequence", row.Sequence).Msg("")
-	}
-}
-
-// logOpenings logs and counts what has changed of what was inferred from opening packets.
-// The world bounds the number of changes a tick.
-func (l *Loop) logOpenings(changes []zf.OpeningVerdict) {
-	for _, change := range changes {
-		counter := l.config.Counters.OpeningServer
-		if change.Server == "" {
-			counter = l.config.Counters.OpeningCentre
-		}
-		counter.Inc(1)
-		l.config.Logger.Entry(zfevent.OpeningsInferred).Str("server", string(change.Server)).Str("centre", string(change.Centre)).Float64("share", change.Share).
-			Int("callers", change.Callers).Int("servers", change.Servers).Dur("age", change.Age).Int("sample", change.Sample).Dur("timeout", change.Timeout).Msg("")
-	}
-}
-
-func centreNames(centres []zf.CentreName) []string {
-	names := make([]string, len(centres))
-	for i, centre := range centres {
-		names[i] = string(centre)
-	}
-	return names
-}
