--- a/core/zfcookie/explain.go
+++ b/core/zfcookie/explain.go
@@ -1,6 +1,7 @@
 package zfcookie
 
 import (
+	"slices"
 	"time"
 
 	zf "zinniafront"
@@ -20,8 +21,12 @@
 	tierSilent:  "silent",
 }
 
-// awayName is the name of the backend servers of a departure in explanations.
-const awayName = "away"
+// awayName and closedName are the names of the backend servers of a departure, and of those that
+// take no new flows, in explanations.
+const (
+	awayName   = "away"
+	closedName = "closed"
+)
 
 // Explain implements zinniafront.Explainer.
 func (m *Mapper) Explain(flow zf.Flow, now time.Time) zf.Explanation {
@@ -31,6 +36,10 @@
 	}
 	s := m.current.Load()
 	if s == nil {
+		e.Attempts = []zf.ExplainedAttempt{{
+			Action: zf.ActionDrop,
+			Reason: zf.ReasonNotReady,
+		}}
 		return e
 	}
 	r := s.routes.find(flow.Destination)
@@ -68,24 +77,22 @@
 
 // explainAttempts adds the decisions on an opening packet and its copies.
 func (m *Mapper) explainAttempts(e *zf.Explanation, p *pool, hash uint64, now time.Time) {
-	var previous *serverStats
+	var previous, unanswered *serverStats
+	var attempt zfopening.Attempt
+	if m.openings != nil {
+		attempt = m.openings.Peek(&e.Flow, hash, false, now)
+	}
+	d := p.departureOf(hash)
 	for i := range explainedAttempts {
-		var attempt zfopening.Attempt
-		if m.openings != nil {
-			attempt = m.openings.Peek(&e.Flow, hash, i > 0, now)
-		}
-		d := p.departureOf(hash)
 		o := openingPacket{
 			hash:            hash,
 			retransmissions: i,
 			previous:        previous,
+			unanswered:      unanswered,
 			now:             now,
 			totalsKnown:     e.TotalsKnown,
 			attempt:         &attempt,
 		}.depart(d, d != nil && d.centre.mayProbe(now))
-		if len(o.away) > 0 {
-			e.Destination = o.away[0].Centre
-		}
 		explained := zf.ExplainedAttempt{
 			Retransmissions: i,
 			Action:          zf.ActionForward,
@@ -99,8 +106,12 @@
 			return
 		}
 		explained.Server = chosen.Name
+		if slices.Contains(o.away, chosen) {
+			e.Destination = chosen.Centre
+		}
 		e.Attempts = append(e.Attempts, explained)
-		previous = chosen.stats
+		unanswered, previous = previous, chosen.stats
+		attempt = attempt.Copy(chosen.stats.opening)
 	}
 }
 
@@ -122,6 +133,14 @@
 	for i, tier := range p.tiers {
 		add(tier, tierNames[i])
 	}
+	for _, s := range p.closed {
+		closed := o.explain(s, closedName, p.costOf)
+		closed.PassedOver = zf.ExclusionDraining
+		if !s.Allowed {
+			closed.PassedOver = zf.ExclusionEvacuated
+		}
+		servers = append(servers, closed)
+	}
 	return servers
 }
 
@@ -137,6 +156,7 @@
 		Centre:     s.Centre,
 		Address:    s.Address,
 		State:      s.State,
+		Late:       s.Late,
 		Tier:       tier,
 		Slots:      s.Slots,
 		Share:      use.Share,
--- a/core/zfcookie/pool.go
+++ b/core/zfcookie/pool.go
@@ -10,15 +10,15 @@
 	"zinniafront/core/zfopening"
 )
 
-// add adds a backend server to its tier, or to none if it takes no new flows.
+// add adds a backend server to its tier, or to those that take no new flows.
 func (p *pool) add(s *server, centre zf.CentreName) {
-	if !s.Allowed {
-		return
-	}
 	switch {
+	case !s.Allowed:
+		p.addClosed(s)
 	case s.State == zf.ServerSilent:
 		p.tiers[tierSilent] = append(p.tiers[tierSilent], s)
 	case s.Weight <= 0:
+		p.addClosed(s)
 	case s.Suspect:
 		p.tiers[tierSuspect] = append(p.tiers[tierSuspect], s)
 	case s.Centre == centre:
@@ -28,13 +28,22 @@
 	}
 }
 
+// addClosed adds a backend server that takes no new flows.
+func (p *pool) addClosed(s *server) {
+	if s.State != zf.ServerGone {
+		p.closed = append(p.closed, s)
+	}
+}
+
 // sort orders the tiers identically on all instances.
 func (p *pool) sort() {
+	byName := func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), a.Born.Compare(b.Born))
+	}
 	for _, tier := range p.tiers {
-		slices.SortFunc(tier, func(a, b *server) int {
-			return cmp.Or(cmp.Compare(a.Name, b.Name), a.Born.Compare(b.Born))
-		})
+		slices.SortFunc(tier, byName)
 	}
+	slices.SortFunc(p.closed, byName)
 }
 
 // openingPacket is an opening packet for which a backend server is chosen.
@@ -46,7 +55,10 @@
 	// previous holds the statistics of the backend server that the packet was last
 	// forwarded to, or nil.
 	previous *serverStats
-	now      time.Time
+	// unanswered holds, for an explanation, those of the backend server that would have left the
+	// packet before that one unanswered.
+	unanswered *serverStats
+	now        time.Time
 	// totalsKnown is true while the total loads are up to date.
 	totalsKnown bool
 	attempt     *zfopening.Attempt
@@ -166,7 +178,7 @@
 		return zf.ExclusionPrevious
 	case !o.allows(s):
 		return zf.ExclusionCold
-	case !s.stats.mayProbe(o.now):
+	case !s.stats.mayProbe(o.now), s.stats == o.unanswered:
 		return zf.ExclusionUnanswered
 	case s.stats.centre.unresponsive(s.Late, o.now):
 		return zf.ExclusionCentre
--- a/explain.go
+++ b/explain.go
@@ -19,6 +19,8 @@
 	Flow     Flow
 	// Ready is set if the instance is in the fabric's rotation.
 	Ready bool
+	// Shed is the share of opening packets that it drops since it is overloaded.
+	Shed float64
 	// Index is that of the control state in force and Version that of its bundle. Age is
 	// the time since the last news of a control instance.
 	Index   uint64
@@ -51,7 +53,7 @@
 	// Server is the backend server that is chosen, or empty.
 	Server ServerName
 	// Candidates are the backend servers of the service in the order in which they are
-	// considered.
+	// considered, and then those that take no new flows.
 	Candidates []ExplainedServer
 }
 
@@ -61,6 +63,8 @@
 	Centre  CentreName
 	Address netip.AddrPort
 	State   ServerState
+	// Late is set if its heartbeat is overdue.
+	Late bool
 	// Tier is the group of backend servers, which are considered one after the other.
 	Tier string
 	// Slots is the number of requests that it processes at a time, Share the rate of
@@ -94,6 +98,10 @@
 	ExclusionUnopened
 	// ExclusionShare means that it is no candidate for this flow, as others have more room.
 	ExclusionShare
+	// ExclusionDraining means that it leaves and takes no new flows.
+	ExclusionDraining
+	// ExclusionEvacuated means that its data centre is taken out.
+	ExclusionEvacuated
 )
 
 // String returns the exclusion's name in output.
@@ -113,6 +121,10 @@
 		return "unopened"
 	case ExclusionShare:
 		return "share"
+	case ExclusionDraining:
+		return "draining"
+	case ExclusionEvacuated:
+		return "evacuated"
 	default:
 		return "unknown"
 	}
