Hold early packets only where the settings say so

Cause: packets were held at every start of an instance, though new behaviour takes effect only where a deployment's settings call for it.

--- a/io/command/zfservecmd/forward.go
+++ b/io/command/zfservecmd/forward.go
@@ -137,7 +137,7 @@
 		Threads:    settings.Threads,
 		Framing:    func() zf.Framing { return platform.NewFraming(settings.Listen.Traffic) },
 		Mapper:     loop.Mapper(),
-		Held:       zfhold.New(),
+		Held:       heldPackets(settings.Load),
 		Clock:      f.Clock,
 		Counters:   counters,
 		Admit:      loop.Admit,
@@ -145,6 +145,15 @@
 	})
 }
 
+// heldPackets returns the table of packets that arrive before an instance knows its tables,
+// or nil if they are dropped.
+func heldPackets(load zfdocument.Load) *zfhold.Table {
+	if !load.Hold {
+		return nil
+	}
+	return zfhold.New()
+}
+
 func newForwardServer(settings *zfdocument.Settings, loop *zfforwardloop.Loop) (*zfcluster.Server, error) {
 	return zfcluster.Listen(zfcluster.ServerConfig{
 		Address: settings.Listen.Cluster,
--- a/io/zfdocument/load.go
+++ b/io/zfdocument/load.go
@@ -9,6 +9,9 @@
 	Placement Placement
 	// Admission is set if new flows are turned away that can't be served in time.
 	Admission bool
+	// Hold is set if packets that arrive before an instance knows its tables wait for them
+	// rather than being dropped.
+	Hold bool
 	// Leaving is set if new flows may leave the data centre of their callers although
 	// it has backend servers. Kilobyte is the price of the traffic between data centres:
 	// the shorter wait for which a kilobyte of answers may be moved.
@@ -40,6 +43,7 @@
 type loadDocument struct {
 	Placement Placement        `json:"placement"`
 	Admission string           `json:"admission"`
+	Early     string           `json:"early"`
 	Leaving   *leavingDocument `json:"leaving"`
 }
 
@@ -57,13 +61,18 @@
 // defaultKilobytePrice keeps flows in their data centre unless their callers gain.
 const defaultKilobytePrice = 5 * time.Millisecond
 
-// admissionRoom is the value of load.admission that turns flows away.
-const admissionRoom = "room"
+// admissionRoom is the value of load.admission that turns flows away, earlyHold that of
+// load.early that holds packets.
+const (
+	admissionRoom = "room"
+	earlyHold     = "hold"
+)
 
 func (d loadDocument) load() Load {
 	load := Load{
 		Placement: d.Placement,
 		Admission: d.Admission == admissionRoom,
+		Hold:      d.Early == earlyHold,
 	}
 	if load.Placement == "" {
 		load.Placement = PlacementCount
--- a/io/zftraffic/socket.go
+++ b/io/zftraffic/socket.go
@@ -190,6 +190,9 @@
 // ReleaseHeld routes the packets that arrived before the mapper could, and returns their
 // number. Call it once the mapper can.
 func (s *Sockets) ReleaseHeld() int {
+	if s.config.Held == nil {
+		return 0
+	}
 	framing := s.config.Framing()
 	frames := s.config.Held.Release(s.config.Clock.Now())
 	for _, frame := range frames {
--- a/lab/zfsoak/process.go
+++ b/lab/zfsoak/process.go
@@ -93,6 +93,7 @@
 		"load": map[string]any{
 			"placement": "wait",
 			"admission": "room",
+			"early":     "hold",
 			"leaving":   map[string]any{},
 		},
 		"platform": map[string]any{
