Lengthen the first election timeouts with each election

Cause: A replica that has received no heartbeat since its start repeats elections after 40 to 200 ms. A vote takes a save of the candidate's record and one of the voter's. Where a save takes some 0.2 s the candidate has always begun another round before a reply arrives, which it then ignores, so that no first leader is ever elected: neither at the first start nor after all control instances were killed. Change: From the second election since the last commit on these timeouts double, up to the regular ones, and a candidate's timeout begins when its requests for votes are sent. The first timeout of a process is unchanged.

--- a/core/zfquorum/cluster_test.go
+++ b/core/zfquorum/cluster_test.go
@@ -48,6 +48,8 @@
 	// stands still during suspensions and is behind by clockLag.
 	suspendedUntil time.Time
 	clockLag       time.Duration
+	// saveTime is how long each save takes, or 0 for a fast disk.
+	saveTime time.Duration
 }
 
 // localTime returns the time on an instance's monotonic clock.
@@ -253,6 +255,9 @@
 		if c.now.Before(inst.slowUntil) {
 			inst.disk.savedAt = c.now.Add(30 * step)
 		}
+		if inst.saveTime > 0 {
+			inst.disk.savedAt = c.now.Add(inst.saveTime)
+		}
 	}
 	lossy := !c.reliable && c.random.IntN(20) == 0
 	messages := inst.replica.TakeMessages()
--- a/core/zfquorum/election.go
+++ b/core/zfquorum/election.go
@@ -141,6 +141,7 @@
 	r.role = roleCandidate
 	r.leader = Node{}
 	r.record.Term++
+	r.elections++
 	r.record.Vote = r.config.Self.ID
 	r.markChanged(now)
 	clear(r.votes)
@@ -157,6 +158,7 @@
 		return
 	}
 	r.record.Term = term
+	r.elections++
 	r.record.Vote = 0
 	r.markChanged(now)
 	r.becomeFollower(now)
--- a/core/zfquorum/replica.go
+++ b/core/zfquorum/replica.go
@@ -38,9 +38,13 @@
 	// minElectionTimeout and electionJitter by a replica that has not received a
 	// heartbeat since its start or since it was the leader. They are short because
 	// after a power loss there is no leader to wait for; where there is one, its
-	// followers grant no pre-vote.
+	// followers grant no pre-vote. From the second election on they double with each
+	// one, up to the regular timeouts: a vote takes two saves of a record.
 	minFirstElectionTimeout = 40 * time.Millisecond
 	firstElectionJitter     = 160 * time.Millisecond
+	// maxElectionDoublings bounds the growth of the first election timeouts; the
+	// regular ones are reached before.
+	maxElectionDoublings = 5
 	// contactTimeout is the silence after which a node counts as unreachable. A
 	// leader that can't reach a majority steps down.
 	contactTimeout = 1000 * time.Millisecond
@@ -112,11 +116,13 @@
 	leader           Node
 	lastHeartbeat    time.Time
 	electionDeadline time.Time
-	lastHello        time.Time
-	lastBroadcast    time.Time
-	votes            map[ID]bool
-	peers            map[ID]*peer
-	knownNodes       []Node
+	// elections counts the terms since an entry was last committed.
+	elections     int
+	lastHello     time.Time
+	lastBroadcast time.Time
+	votes         map[ID]bool
+	peers         map[ID]*peer
+	knownNodes    []Node
 	// round is the number of the last round of heartbeats that this replica sent
 	// as leader.
 	round     uint64
@@ -257,6 +263,9 @@
 	if r.savedSerial != r.serial {
 		r.unsavedSince = now
 	}
+	if r.role == roleCandidate && r.savedSerial == r.serial {
+		r.resetElectionTimer(now) // The requests for votes are sent only now.
+	}
 	r.maybeCommit(now)
 }
 
@@ -273,6 +282,7 @@
 func (r *Replica) setCommitted(entry Entry, now time.Time) {
 	r.committed = entry
 	r.committedAt = now
+	r.elections = 0
 }
 
 // sendWhenSaved queues a message until the current record, which the message
@@ -339,7 +349,9 @@
 func (r *Replica) resetElectionTimer(now time.Time) {
 	minimum, jitter := minElectionTimeout, electionJitter
 	if r.lastHeartbeat.IsZero() {
-		minimum, jitter = minFirstElectionTimeout, firstElectionJitter
+		growth := time.Duration(1) << min(max(r.elections-1, 0), maxElectionDoublings)
+		minimum = min(minimum, growth*minFirstElectionTimeout)
+		jitter = min(jitter, growth*firstElectionJitter)
 	}
 	r.electionDeadline = now.Add(minimum + time.Duration(r.config.Random.IntN(int(jitter))))
 }
