Record repeated commands for data centres, so that they reject abandoned ones

Cause: an order is confirmed against the sequence of the data centre's last change. An order to start an evacuation that was in force already was acknowledged without a sequence of its own. An order to finish it, confirmed before and held in the socket of a suspended control instance, still referred to the last change and was carried out when the instance went on. The log of the case shows the confirmation (3019, sequence 3), the repeated order (3001, already, sequence 3) and the abandoned one (3001, done, asof 3).

Change: a command that succeeds without a change is recorded with a sequence of its own, in both directions and also for data centres that were never out. The control role, whose state machine is the same, saves every changed state to its disk instead of those with status done.

--- a/core/zfcontrol/statemachine.go
+++ b/core/zfcontrol/statemachine.go
@@ -1,9 +1,10 @@
 // Package zfcontrol implements the state machine of the control state. Its table
 // holds the accepted bundles by version. Commands of operators are applied one at
-// a time and are idempotent: a repeated command changes nothing and has
-// StatusAlready, or StatusStale if its bundle was removed since. With StatusAlready,
-// the outcome of AcceptCommand, RollCommand and taking a data centre out has the
-// sequence of the change that the first command made.
+// a time and are idempotent: a repeated command has StatusAlready, or StatusStale if
+// its bundle was removed since. With StatusAlready, the outcome of AcceptCommand and
+// RollCommand has the sequence of the change that the first command made. A repeated
+// CentreCommand has a sequence of its own, which rejects earlier commands that were
+// confirmed but are still on their way.
 package zfcontrol
 
 import (
@@ -37,8 +38,8 @@
 
 // CentreCommand takes a data centre out of service or brings it back. A delayed copy of
 // an earlier command must not undo a later one, so the operator has to confirm it against
-// the control state: one that would change the state has StatusUnconfirmed unless the
-// data centre has not changed since AsOf.
+// the control state: one that would take the data centre out or bring it back has
+// StatusUnconfirmed if another command for the data centre succeeded after AsOf.
 type CentreCommand struct {
 	Centre zf.CentreName
 	Out    bool
@@ -134,14 +135,15 @@
 	InForce uint64
 	// Centres are the data centres of the bundle in force.
 	Centres []zf.CentreName
-	// Out are the data centres taken out of service, each by the change with Sequence.
-	// Returned are those that were out before.
-	Out      []CentreChange
-	Returned []CentreChange
+	// Out are the data centres taken out of service. Returned are the others for which
+	// a command has succeeded.
+	Out      []CentreEntry
+	Returned []CentreEntry
 }
 
-// CentreChange is the last change of a data centre's service status.
-type CentreChange struct {
+// CentreEntry is a data centre with the sequence of the last command that succeeded for
+// it, or of the bundle that removed it.
+type CentreEntry struct {
 	Centre   zf.CentreName
 	Sequence uint64
 }
@@ -321,38 +323,38 @@
 	m.state.Centres = m.centres[command.Version]
 	for _, out := range m.state.Out {
 		if !slices.Contains(m.state.Centres, out.Centre) {
-			m.recordChange(out.Centre, false, accepted.Rolled)
+			m.recordCentre(out.Centre, false, accepted.Rolled)
 		}
 	}
 	return accepted.outcome(StatusDone, accepted.Rolled)
 }
 
-// recordChange moves a data centre to Out or to Returned.
-func (m *StateMachine) recordChange(centre zf.CentreName, out bool, sequence uint64) {
-	isCentre := func(c CentreChange) bool { return c.Centre == centre }
+// recordCentre records whether a data centre is out, as of a sequence.
+func (m *StateMachine) recordCentre(centre zf.CentreName, out bool, sequence uint64) {
+	isCentre := func(e CentreEntry) bool { return e.Centre == centre }
 	m.state.Out = slices.DeleteFunc(slices.Clone(m.state.Out), isCentre)
 	m.state.Returned = slices.DeleteFunc(slices.Clone(m.state.Returned), isCentre)
-	change := CentreChange{
+	entry := CentreEntry{
 		Centre:   centre,
 		Sequence: sequence,
 	}
 	if out {
-		m.state.Out = append(m.state.Out, change)
+		m.state.Out = append(m.state.Out, entry)
 		return
 	}
-	m.state.Returned = append(m.state.Returned, change)
+	m.state.Returned = append(m.state.Returned, entry)
 }
 
-// lastChange returns the sequence of a data centre's last change, and whether it is out.
-func (m *StateMachine) lastChange(centre zf.CentreName) (sequence uint64, out bool) {
-	for _, c := range m.state.Out {
-		if c.Centre == centre {
-			return c.Sequence, true
+// centreStatus returns whether a data centre is out, and as of which sequence.
+func (m *StateMachine) centreStatus(centre zf.CentreName) (sequence uint64, out bool) {
+	for _, e := range m.state.Out {
+		if e.Centre == centre {
+			return e.Sequence, true
 		}
 	}
-	for _, c := range m.state.Returned {
-		if c.Centre == centre {
-			return c.Sequence, false
+	for _, e := range m.state.Returned {
+		if e.Centre == centre {
+			return e.Sequence, false
 		}
 	}
 	return 0, false
@@ -367,23 +369,21 @@
 	if !slices.Contains(m.state.Centres, command.Centre) {
 		return outcome
 	}
-	changed, out := m.lastChange(command.Centre)
+	last, out := m.centreStatus(command.Centre)
+	confirmed := command.AsOf != 0 && last <= command.AsOf && command.AsOf <= m.state.Sequence
 	switch {
 	case command.Out == out:
 		outcome.Status = StatusAlready
-		if out {
-			outcome.Sequence = changed
-		}
-		return outcome
-	case command.AsOf == 0 || command.AsOf < changed || command.AsOf > m.state.Sequence:
+	case !confirmed:
 		outcome.Status = StatusUnconfirmed
 		return outcome
 	case command.Out && !m.config.AllowAllCentresOut && len(m.state.Out)+1 >= len(m.state.Centres):
 		outcome.Status = StatusLastCentre
 		return outcome
+	default:
+		outcome.Status = StatusDone
 	}
-	outcome.Status = StatusDone
 	outcome.Sequence = m.nextSequence()
-	m.recordChange(command.Centre, command.Out, outcome.Sequence)
+	m.recordCentre(command.Centre, command.Out, outcome.Sequence)
 	return outcome
 }
--- a/core/zfcontrol/statemachine_test.go
+++ b/core/zfcontrol/statemachine_test.go
@@ -202,6 +202,47 @@
 	})
 }
 
+// TestRepeatedCentreCommand guards against a delayed command that undoes a later one, which
+// succeeded without a change.
+func TestRepeatedCentreCommand(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		commands []bool
+		out      int
+	}{
+		{
+			name:     "a data centre that is taken out again",
+			commands: []bool{true, true},
+			out:      1,
+		},
+		{
+			name:     "a data centre that is brought back again",
+			commands: []bool{true, false, false},
+		},
+		{
+			name:     "a data centre that was never out",
+			commands: []bool{false},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newStateMachine(t)
+			m.Apply(accept(1, "a"))
+			m.Apply(roll(1))
+			repeated := len(c.commands) - 1
+			for _, out := range c.commands[:repeated] {
+				setCentre(m, "one", out)
+			}
+			delayed := centre("one", !c.commands[repeated], m.State().Sequence)
+			assertStatus(t, setCentre(m, "one", c.commands[repeated]), zfcontrol.StatusAlready)
+			outcome := m.Apply(delayed)
+			assertStatus(t, outcome, zfcontrol.StatusUnconfirmed)
+			zfassert.Equal(t, "out", len(m.State().Out), c.out)
+			delayed.AsOf = outcome.Sequence
+			assertStatus(t, m.Apply(delayed), zfcontrol.StatusDone)
+		})
+	}
+}
+
 func TestStateMachineNeverReverts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newStateMachine(t)
--- a/io/zfoperator/operator_test.go
+++ b/io/zfoperator/operator_test.go
@@ -121,6 +121,17 @@
 	return reply.Outcome
 }
 
+func (c *testControl) setCentre(t *testing.T, out bool, asOf uint64) zfcontrol.Outcome {
+	t.Helper()
+	reply, err := c.client.Centre(context.Background(), zfoperator.CentreArgs{
+		Centre: "arima",
+		Out:    out,
+		AsOf:   asOf,
+	})
+	zfassert.NoError(t, err)
+	return reply.Outcome
+}
+
 func assertStatus(t *testing.T, outcome zfcontrol.Outcome, want zfcontrol.Status) {
 	t.Helper()
 	zfassert.Equal(t, "status", outcome.Status.String(), want.String())
@@ -217,25 +228,15 @@
 
 // TestCentre guards against a delayed command that undoes a later one.
 func TestCentre(t *testing.T) {
-	set := func(t *testing.T, c *testControl, out bool, asOf uint64) zfcontrol.Outcome {
-		t.Helper()
-		reply, err := c.client.Centre(context.Background(), zfoperator.CentreArgs{
-			Centre: "arima",
-			Out:    out,
-			AsOf:   asOf,
-		})
-		zfassert.NoError(t, err)
-		return reply.Outcome
-	}
 	c := newControl(t)
 	c.accept(t, "1")
 	rolled := c.roll(t, 1)
 	t.Run("a client confirms its command", func(t *testing.T) {
-		assertStatus(t, set(t, c, true, 0), zfcontrol.StatusDone)
-		assertStatus(t, set(t, c, false, 0), zfcontrol.StatusDone)
+		assertStatus(t, c.setCentre(t, true, 0), zfcontrol.StatusDone)
+		assertStatus(t, c.setCentre(t, false, 0), zfcontrol.StatusDone)
 	})
 	t.Run("a command that was confirmed before a later one changes nothing", func(t *testing.T) {
-		assertStatus(t, set(t, c, true, rolled.Sequence), zfcontrol.StatusUnconfirmed)
+		assertStatus(t, c.setCentre(t, true, rolled.Sequence), zfcontrol.StatusUnconfirmed)
 		reply, err := c.client.Fetch(context.Background(), zfoperator.FetchArgs{
 			Instance: "e",
 		})
@@ -244,6 +245,18 @@
 	})
 }
 
+// TestRepeatedCentre guards against a restart after which a delayed command undoes a later one
+// that succeeded without a change.
+func TestRepeatedCentre(t *testing.T) {
+	c := newControl(t)
+	c.accept(t, "1")
+	delayed := c.roll(t, 1).Sequence
+	assertStatus(t, c.setCentre(t, false, 0), zfcontrol.StatusAlready)
+	zfassert.NoError(t, c.server.Close())
+	c.start(t)
+	assertStatus(t, c.setCentre(t, true, delayed), zfcontrol.StatusUnconfirmed)
+}
+
 // syncBuffer is a buffer for the log of a server, which has its own goroutine.
 type syncBuffer struct {
 	mutex  sync.Mutex
--- a/io/zfoperator/service.go
+++ b/io/zfoperator/service.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// apply carries out a command and returns its outcome after the state is synced to
+// apply carries out a command and returns its outcome after a changed state is synced to
 // disk. A command whose state can't be saved is undone.
 func (s *Server) apply(name string, command zfcontrol.Command) (zfcontrol.Outcome, error) {
 	var outcome zfcontrol.Outcome
@@ -199,7 +199,7 @@
 	err := s.do(func() {
 		before := s.stateMachine.State()
 		outcome = s.stateMachine.Apply(command)
-		if outcome.Status != zfcontrol.StatusDone {
+		if s.stateMachine.State().Sequence == before.Sequence {
 			s.logOutcome(name, command, outcome)
 			return
 		}
