Keep backend servers that drain draining while their heartbeats are missed

Callers saw: flows that opened at a backend server that was about to end.

Cause: control instances that miss the heartbeats mark the row as silent. That state replaced draining, and copies of opening packets go to silent backend servers once all others were tried. Event 5005 of an entry instance shows draining, draining and late, silent, and draining again after the cut; the six opening packets arrived while it was silent.

Change: the silent state of a row that drains is draining, in the table's own expiry as well as in the reports of other instances, of earlier versions and from the disk. It becomes late as before. So it stays outside all tiers of the mapper, which is what keeps new flows away.

Tests: TestSilentDraining, of which four of five cases failed before ("state of a: got silent, want draining").

--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -76,9 +76,8 @@
 	switch {
 	case silent >= t.config.GoneTimeout:
 		t.markGone(row, false, now)
-	case silent >= t.config.SilentTimeout && row.Status != zf.ServerSilent:
-		row.Status = zf.ServerSilent
-		t.markChanged(row)
+	case silent >= t.config.SilentTimeout && row.Status != row.silentStatus():
+		t.setStatus(row, row.silentStatus())
 	case silent >= t.config.LateTimeout && !row.Late:
 		row.Late = true
 		t.markChanged(row)
--- a/core/zfregistry/feed.go
+++ b/core/zfregistry/feed.go
@@ -239,17 +239,13 @@
 	if changed {
 		t.markChanged(row)
 	}
-	if u.Status == row.Status {
-		return
-	}
 	switch u.Status {
+	case row.Status:
 	case zf.ServerGone:
 		t.markGone(row, false, now)
 	case zf.ServerSilent:
-		row.Status = zf.ServerSilent
-		t.markChanged(row)
+		t.setStatus(row, row.silentStatus())
 	default:
-		row.Status = row.announcedStatus(now)
-		t.markChanged(row)
+		t.setStatus(row, row.announcedStatus(now))
 	}
 }
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -281,6 +281,13 @@
 	t.markChanged(row)
 }
 
+func (t *Table) setStatus(row *Row, status zf.ServerState) {
+	if row.Status != status {
+		row.Status = status
+		t.markChanged(row)
+	}
+}
+
 func (t *Table) markChanged(row *Row) {
 	t.revision++
 	t.contentRevision = t.revision
@@ -358,6 +365,15 @@
 	}
 }
 
+// silentStatus returns the state of a row that is silent. ServerSilent allows new flows
+// where no other backend server is left, which one that drains must not get.
+func (r *Row) silentStatus() zf.ServerState {
+	if r.State == zf.ServerDraining {
+		return zf.ServerDraining
+	}
+	return zf.ServerSilent
+}
+
 // differs reports whether an announcement has another address, service, data
 // centre, capacity or number.
 func (r *Row) differs(a zf.Announcement) bool {
--- a/value.go
+++ b/value.go
@@ -161,7 +161,8 @@
 	ServerCold ServerState = iota
 	// ServerWarm sustains its full capacity.
 	ServerWarm
-	// ServerDraining keeps its flows and receives no new work.
+	// ServerDraining keeps its flows and receives no new work. It takes precedence over
+	// ServerSilent.
 	ServerDraining
 	// ServerSilent has not announced itself recently. It receives no new flows, or
 	// only where no other backend server can take them.
