Keep the limit of a cold backend server while its heartbeats are missed

Callers would see: requests that wait beyond their deadline at a cold backend server. The limit on new flows depended on the state, so that a cold backend server whose heartbeats are missed took any number of those that no other one answers.

Change: a row tells its cold start apart from its state, and the limit depends on that.

Test: TestSilentCold failed before ("rate: got 0, want 0.5").

--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -338,7 +338,7 @@
 	for i := range servers {
 		s := &servers[i]
 		service := w.state.Bundle.Find(s.Service)
-		cold := s.State == zf.ServerCold || now.Sub(w.restored[s.Centre]) < restoredColdTime
+		cold := s.Cold || now.Sub(w.restored[s.Centre]) < restoredColdTime
 		if cold && service != nil {
 			s.OpeningRate = service.Pool.ColdRate / float64(max(w.entryCount, 1))
 		}
--- a/core/zfforward/world_test.go
+++ b/core/zfforward/world_test.go
@@ -274,3 +274,39 @@
 		zfassert.Equal(t, "later", recorder.last.Servers[0].OpeningRate, 0.0)
 	})
 }
+
+// TestSilentCold guards against more new flows than a cold backend server sustains once its
+// heartbeats are missed.
+func TestSilentCold(t *testing.T) {
+	recorder := &viewRecorder{}
+	world := zfforward.New(zfforward.Config{
+		Mapper:   recorder,
+		Registry: zfregistry.DefaultConfig(1, time.Second),
+	})
+	reply := zfforward.Reply{
+		EntryCount: 8,
+		Changes:    changes("one"),
+		State:      state(1, "orders"),
+	}
+	reply.State.Bundle.Services = []zfbundle.Service{{
+		Name: "orders",
+		Pool: zfbundle.Pool{
+			ColdRate: 4,
+		},
+	}}
+	reply.Changes.Updates[0].Cold = 6 * time.Second
+	reply.Changes.Updates[0].Status = zf.ServerSilent
+	world.ApplyReply(reply, start)
+	assertRate := func(t testing.TB, rate float64) {
+		t.Helper()
+		zfassert.Equal(t, "state", recorder.last.Servers[0].State, zf.ServerSilent)
+		zfassert.Equal(t, "rate", recorder.last.Servers[0].OpeningRate, rate)
+	}
+	t.Run("during the cold start", func(t *testing.T) {
+		assertRate(t, 0.5)
+	})
+	t.Run("after the cold start", func(t *testing.T) {
+		world.Tick(start.Add(6 * time.Second))
+		assertRate(t, 0)
+	})
+}
--- a/core/zfregistry/expire.go
+++ b/core/zfregistry/expire.go
@@ -19,9 +19,8 @@
 			t.removeExpired(incarnation, row, now)
 			continue
 		}
-		if row.Status == zf.ServerCold && !now.Before(row.ColdUntil) {
-			row.Status = zf.ServerWarm
-			t.markChanged(row)
+		if !row.ColdUntil.IsZero() && !now.Before(row.ColdUntil) {
+			t.endColdStart(row)
 		}
 		if !row.SuspectUntil.IsZero() && !now.Before(row.SuspectUntil) {
 			row.SuspectUntil = time.Time{}
@@ -38,6 +37,14 @@
 	}
 }
 
+func (t *Table) endColdStart(row *Row) {
+	row.ColdUntil = time.Time{}
+	if row.Status == zf.ServerCold {
+		row.Status = zf.ServerWarm
+	}
+	t.markChanged(row)
+}
+
 // lastHeartbeat returns when the last heartbeat of a row came in, as far as it
 // is known. If another instance receives the heartbeats, each of its reports
 // counts as one: it reports overdue heartbeats itself.
--- a/core/zfregistry/table.go
+++ b/core/zfregistry/table.go
@@ -100,7 +100,8 @@
 	// overdue, not each of them, so that the traffic doesn't grow with the number
 	// of backend servers times that of control instances.
 	receiver Source
-	// ColdUntil is when the backend server's cold start ends.
+	// ColdUntil is when the backend server's cold start ends, or the zero value if it isn't
+	// cold.
 	ColdUntil time.Time
 	// Status is the state derived from the heartbeats and the reports of other
 	// instances, State the announced one.
--- a/core/zfregistry/view.go
+++ b/core/zfregistry/view.go
@@ -39,6 +39,7 @@
 			Born:     row.Born,
 			Number:   row.Number,
 			Proven:   row.Proven,
+			Cold:     !row.ColdUntil.IsZero(),
 			Late:     row.Late,
 			Inferred: row.Inferred(),
 			Suspect:  !row.SuspectUntil.IsZero(),
--- a/view.go
+++ b/view.go
@@ -42,6 +42,8 @@
 	Number uint64
 	// Proven is set if a ServerGone server is certain to have ended.
 	Proven bool
+	// Cold is set during the server's cold start, whatever its State is.
+	Cold bool
 	// Late is set if a heartbeat is overdue. Silence before the control instances
 	// last regained contact with a majority doesn't count.
 	Late bool
