--- a/io/zfdocument/document_test.go
+++ b/io/zfdocument/document_test.go
@@ -37,6 +37,15 @@
 	})
 }
 
+// TestForeignBytes guards against a document whose bytes that are not UTF-8 are replaced in silence.
+func TestForeignBytes(t *testing.T) {
+	for _, kind := range []string{"bundle", "settings", "announcement"} {
+		t.Run(kind, func(t *testing.T) {
+			zfassert.Contains(t, parse(kind, "{\"name\": \"\xff\"}"), "not UTF-8")
+		})
+	}
+}
+
 func TestExamples(t *testing.T) {
 	for _, name := range []string{"collarcraft", "derwent"} {
 		t.Run(name, func(t *testing.T) {
--- a/io/zfdocument/loader.go
+++ b/io/zfdocument/loader.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -174,8 +175,16 @@
 }
 
 // checkSyntax returns the first syntax error or duplicate key, or nil. The JSON
-// decoders would silently keep the last value of a duplicate key.
+// decoders would silently keep the last value of a duplicate key, and replace bytes that
+// are not UTF-8.
 func checkSyntax(text []byte) *zfbundle.Fault {
+	if !utf8.Valid(text) {
+		return &zfbundle.Fault{
+			Path:    "/",
+			Problem: "bytes that are not UTF-8",
+			Allowed: "JSON in UTF-8",
+		}
+	}
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.UseNumber()
 	if fault := checkValue(decoder, ""); fault != nil {
