Tell entry instances that start which data centres were restored

Callers saw: requests without an answer by their deadline at cold backend servers.

Cause: backend servers of a data centre that was out count as cold for three seconds, until their heartbeats say whether they are. An entry instance derived that from the change of the control state, which one that starts later hasn't seen.

Change: replies to fetches name the data centres restored in the last three seconds, with the time since. A table of them (core/zfrestoration) is kept by control instances, which derive it from the committed state and learn it from each other, and by entry instances.

Tests: TestStartAfterRestoration fails without the reply's restorations ("rate: got 0, want 0.5").

--- a/core/zfcontroller/world.go
+++ b/core/zfcontroller/world.go
@@ -18,6 +18,7 @@
 	"zinniafront/core/zfpermit"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrestoration"
 	"zinniafront/core/zfrotation"
 )
 
@@ -79,6 +80,7 @@
 	services        map[zf.ServiceName]bool
 	servicesVersion uint64
 	admission       *zfadmission.Table
+	restorations    *zfrestoration.Table
 	routes          routesInForce
 }
 
@@ -95,7 +97,8 @@
 		rotation:    zfrotation.New(),
 		admission:   zfadmission.New(config.Quorum.Self.Centre),
 
-		peerContact: make(map[netip.AddrPort]time.Time),
+		restorations: zfrestoration.New(),
+		peerContact:  make(map[netip.AddrPort]time.Time),
 	}
 	if config.Departure != nil {
 		w.departures.table = zfdeparture.New(*config.Departure)
@@ -119,6 +122,22 @@
 // Registry returns the table of backend servers.
 func (w *World) Registry() *zfregistry.Table { return w.registry }
 
+// Restorations returns the data centres that were brought back into service recently.
+func (w *World) Restorations(now time.Time) []zfrestoration.Restoration {
+	w.updateRestorations(now)
+	return w.restorations.Restorations(now)
+}
+
+// MergeRestorations adds the restorations that another control instance reports.
+func (w *World) MergeRestorations(restorations []zfrestoration.Restoration, now time.Time) {
+	w.restorations.Merge(restorations, now)
+}
+
+func (w *World) updateRestorations(now time.Time) {
+	w.restorations.SetOut(CentresOut(w.replica.Committed().State), now)
+	w.restorations.Tick(now)
+}
+
 // QuorumSince returns when the current contact with a majority began, or the zero
 // value if there is none.
 func (w *World) QuorumSince() time.Time { return w.quorumSince }
@@ -139,6 +158,7 @@
 func (w *World) Tick(now time.Time) {
 	w.replica.Tick(now)
 	w.updateContact(now)
+	w.updateRestorations(now)
 	w.registry.SetReportingSince(w.reportingSince)
 	w.registry.Tick(now, w.quorumSince)
 	w.stopPermits.Tick(now)
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -6,7 +6,6 @@
 package zfforward
 
 import (
-	"slices"
 	"time"
 
 	zf "zinniafront"
@@ -14,6 +13,7 @@
 	"zinniafront/core/zfload"
 	"zinniafront/core/zfregistry"
 	"zinniafront/core/zfresource"
+	"zinniafront/core/zfrestoration"
 )
 
 // Config holds the dependencies of a world.
@@ -66,6 +66,8 @@
 	StepOutPermitted bool
 	// Wait is set if this instance must not enter the rotation yet.
 	Wait bool
+	// Restorations are the data centres that were brought back into service recently.
+	Restorations []zfrestoration.Restoration
 	// State is nil if it has not changed.
 	State *State
 }
@@ -90,11 +92,10 @@
 	entryCount    int
 	entryPosition int
 	// limitsCold is set if the bundle states such a rate.
-	limitsCold bool
-	// restored is when each data centre was last brought back into service.
-	restored map[zf.CentreName]time.Time
-	stop     plannedStop
-	entry    rotationEntry
+	limitsCold   bool
+	restorations *zfrestoration.Table
+	stop         plannedStop
+	entry        rotationEntry
 	// resources holds the use of this instance's resources, strain whether they suffice.
 	resources *zfresource.Table
 	strain    zf.Strain
@@ -111,11 +112,6 @@
 	departures departures
 }
 
-// restoredColdTime is how long the backend servers of a data centre count as cold
-// after it was brought back into service. They may have become cold while they had no
-// flows, and report it with one of their next heartbeats.
-const restoredColdTime = 3 * time.Second
-
 // revisions identifies the inputs of a view. A view is rebuilt when one of them has
 // changed.
 type revisions struct {
@@ -125,8 +121,8 @@
 	entryPosition int
 	// synced is World.synced.
 	synced bool
-	// restored is the number of data centres recently brought back into service.
-	restored int
+	// restorations is the revision of World.restorations.
+	restorations uint64
 	// departures is departures.revision.
 	departures uint64
 }
@@ -134,7 +130,7 @@
 // urgent reports whether a view has to be rebuilt at once: the control state has changed, or
 // what this instance knows of it.
 func (r revisions) urgent(earlier revisions) bool {
-	return r.index != earlier.index || r.synced != earlier.synced || r.restored != earlier.restored || r.entryCount != earlier.entryCount
+	return r.index != earlier.index || r.synced != earlier.synced || r.restorations != earlier.restorations || r.entryCount != earlier.entryCount
 }
 
 // A view is built from the rows of all backend servers, of which hundreds may change in a few
@@ -154,10 +150,9 @@
 func New(config Config) *World {
 	config.Registry.Subscriber = true
 	return &World{
-		config:   config,
-		registry: zfregistry.New(config.Registry),
-		restored: make(map[zf.CentreName]time.Time),
-
+		config:       config,
+		registry:     zfregistry.New(config.Registry),
+		restorations: zfrestoration.New(),
 		resources:    zfresource.New(),
 		loadInterval: zfload.ReportInterval(nil),
 		view: zf.View{
@@ -207,6 +202,11 @@
 // Mapper returns the mapper, whose Route is for the traffic goroutines.
 func (w *World) Mapper() zf.Mapper { return w.config.Mapper }
 
+// Restorations returns the data centres that were brought back into service recently.
+func (w *World) Restorations(now time.Time) []zfrestoration.Restoration {
+	return w.restorations.Restorations(now)
+}
+
 // State returns the control state in force on this instance.
 func (w *World) State() State { return w.state }
 
@@ -221,6 +221,7 @@
 		w.entryPosition = reply.EntryPosition
 	}
 	w.registry.Merge(reply.Changes, now)
+	w.restorations.Merge(reply.Restorations, now)
 	if reply.Loads != nil {
 		w.loadInterval = zfload.ReportInterval(reply.Loads)
 		w.config.Observer.SetTotalLoads(reply.Loads, now)
@@ -242,11 +243,7 @@
 }
 
 func (w *World) applyState(state State, now time.Time) {
-	for _, centre := range w.state.Out {
-		if !slices.Contains(state.Out, centre) {
-			w.restored[centre] = now
-		}
-	}
+	w.restorations.SetOut(state.Out, now)
 	w.state = state
 	w.routes = nil
 	w.limitsCold = false
@@ -289,12 +286,13 @@
 // tickMapper runs the mapper's tick, with a new view if the inputs of the view changed.
 func (w *World) tickMapper(now time.Time) {
 	w.departures.expire(now)
+	w.restorations.Tick(now)
 	current := revisions{
-		servers:    w.registry.ContentRevision(),
-		index:      w.state.Index,
-		synced:     w.synced,
-		restored:   w.recentlyRestored(now),
-		departures: w.departures.revision,
+		servers:      w.registry.ContentRevision(),
+		index:        w.state.Index,
+		synced:       w.synced,
+		restorations: w.restorations.Revision(),
+		departures:   w.departures.revision,
 	}
 	if w.limitsCold {
 		current.entryCount = w.entryCount
@@ -308,37 +306,23 @@
 		w.view.Departures = w.departures.inForce
 		w.view.EntryCount = max(w.entryCount, 1)
 		w.view.EntryPosition = w.entryPosition
-		w.view.Servers = w.limitColdServers(w.registry.View(w.state.Out), now)
+		w.view.Servers = w.limitColdServers(w.registry.View(w.state.Out))
 		w.view.Revision++
 	}
 	w.view.Limits = w.limits.inForce(now)
 	w.config.Mapper.Tick(now, w.view)
 }
 
-// recentlyRestored returns the number of data centres that were brought back into
-// service within restoredColdTime, and removes the others.
-func (w *World) recentlyRestored(now time.Time) int {
-	count := 0
-	for centre, at := range w.restored {
-		if now.Sub(at) >= restoredColdTime {
-			delete(w.restored, centre)
-			continue
-		}
-		count++
-	}
-	return count
-}
-
 // limitColdServers limits the rate of new flows of each cold backend server to this
 // instance's share of the rate that the server sustains.
-func (w *World) limitColdServers(servers []zf.ServerView, now time.Time) []zf.ServerView {
+func (w *World) limitColdServers(servers []zf.ServerView) []zf.ServerView {
 	if w.state.Bundle == nil {
 		return servers
 	}
 	for i := range servers {
 		s := &servers[i]
 		service := w.state.Bundle.Find(s.Service)
-		cold := s.Cold || now.Sub(w.restored[s.Centre]) < restoredColdTime
+		cold := s.Cold || w.restorations.IsRecent(s.Centre)
 		if cold && service != nil {
 			s.OpeningRate = service.Pool.ColdRate / float64(max(w.entryCount, 1))
 		}
--- a/core/zfforward/world_test.go
+++ b/core/zfforward/world_test.go
@@ -10,6 +10,7 @@
 	"zinniafront/core/zfcookie"
 	"zinniafront/core/zfforward"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrestoration"
 	"zinniafront/lab/zfassert"
 )
 
@@ -230,12 +231,18 @@
 // Synced implements zinniafront.Mapper.
 func (*viewRecorder) Synced() bool { return true }
 
-func TestColdShare(t *testing.T) {
+// newRecordedWorld returns a world whose mapper records its views.
+func newRecordedWorld() (*zfforward.World, *viewRecorder) {
 	recorder := &viewRecorder{}
-	world := zfforward.New(zfforward.Config{
+	return zfforward.New(zfforward.Config{
 		Mapper:   recorder,
 		Registry: zfregistry.DefaultConfig(1, time.Second),
-	})
+	}), recorder
+}
+
+// coldReply returns a reply with a backend server of a service that states a rate of 4 for cold
+// ones, shared by 8 entry instances.
+func coldReply() zfforward.Reply {
 	reply := zfforward.Reply{
 		EntryCount:    8,
 		EntryPosition: 3,
@@ -248,6 +255,12 @@
 			ColdRate: 4,
 		},
 	}}
+	return reply
+}
+
+func TestColdShare(t *testing.T) {
+	world, recorder := newRecordedWorld()
+	reply := coldReply()
 	world.ApplyReply(reply, start)
 	zfassert.Equal(t, "rate of a warm server", recorder.last.Servers[0].OpeningRate, 0.0)
 	reply.Changes.Updates[0].Sequence = 2
@@ -275,25 +288,33 @@
 	})
 }
 
+// TestStartAfterRestoration guards against an entry instance that starts after a data centre was
+// brought back into service and takes its cold backend servers for warm until their heartbeats.
+func TestStartAfterRestoration(t *testing.T) {
+	world, recorder := newRecordedWorld()
+	reply := coldReply()
+	reply.Restorations = []zfrestoration.Restoration{{
+		Centre: "one",
+		Age:    time.Second,
+	}}
+	world.ApplyReply(reply, start)
+	t.Run("at its start", func(t *testing.T) {
+		zfassert.Equal(t, "rate", recorder.last.Servers[0].OpeningRate, 0.5)
+	})
+	t.Run("other entry instances learn it from this one", func(t *testing.T) {
+		zfassert.Equal(t, "restorations", world.Restorations(start), reply.Restorations)
+	})
+	t.Run("later", func(t *testing.T) {
+		world.Tick(start.Add(2 * time.Second))
+		zfassert.Equal(t, "rate", recorder.last.Servers[0].OpeningRate, 0.0)
+	})
+}
+
 // TestSilentCold guards against more new flows than a cold backend server sustains once its
 // heartbeats are missed.
 func TestSilentCold(t *testing.T) {
-	recorder := &viewRecorder{}
-	world := zfforward.New(zfforward.Config{
-		Mapper:   recorder,
-		Registry: zfregistry.DefaultConfig(1, time.Second),
-	})
-	reply := zfforward.Reply{
-		EntryCount: 8,
-		Changes:    changes("one"),
-		State:      state(1, "orders"),
-	}
-	reply.State.Bundle.Services = []zfbundle.Service{{
-		Name: "orders",
-		Pool: zfbundle.Pool{
-			ColdRate: 4,
-		},
-	}}
+	world, recorder := newRecordedWorld()
+	reply := coldReply()
 	reply.Changes.Updates[0].Cold = 6 * time.Second
 	reply.Changes.Updates[0].Status = zf.ServerSilent
 	world.ApplyReply(reply, start)
--- a/io/zfcluster/feed.go
+++ b/io/zfcluster/feed.go
@@ -9,6 +9,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrestoration"
 	"zinniafront/core/zfrotation"
 )
 
@@ -51,6 +52,8 @@
 	MayEnter(instance zf.InstanceName, centre zf.CentreName) bool
 	// EntryCounts returns the numbers of entry instances that report to this one.
 	EntryCounts(now time.Time) []zfrotation.Count
+	// Restorations returns the data centres that were brought back into service recently.
+	Restorations(now time.Time) []zfrestoration.Restoration
 	// Controls returns the known control instances; one that is lost stays among them
 	// for a while.
 	Controls(now time.Time) []zfquorum.Node
@@ -216,6 +219,8 @@
 		Turn:     f.stopPermitted(args, now),
 		StepOut:  f.stepOutPermitted(args, now),
 		Wait:     f.mustWait(args),
+
+		Restorations: f.config.Data.Restorations(now),
 	}
 	if args.Control {
 		reply.Counts = f.config.Data.EntryCounts(now)
--- a/io/zfcluster/feed_test.go
+++ b/io/zfcluster/feed_test.go
@@ -8,6 +8,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrestoration"
 	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
 	"zinniafront/lab/zfassert"
@@ -28,6 +29,7 @@
 
 	stepOutPermitted bool
 	controls         []zfquorum.Node
+	restorations     []zfrestoration.Restoration
 }
 
 func newTestFeedData() *testFeedData {
@@ -87,6 +89,8 @@
 	}}
 }
 
+func (s *testFeedData) Restorations(time.Time) []zfrestoration.Restoration { return s.restorations }
+
 func (s *testFeedData) Controls(time.Time) []zfquorum.Node { return s.controls }
 
 func (s *testFeedData) announce(sequence uint64) {
@@ -99,6 +103,21 @@
 	}, start)
 }
 
+func TestRestorations(t *testing.T) {
+	data := newTestFeedData()
+	data.restorations = []zfrestoration.Restoration{{
+		Centre: "one",
+		Age:    time.Second,
+	}}
+	for _, control := range []bool{false, true} {
+		reply, _ := fetch(newFeed(data), zfcluster.FetchArgs{
+			Instance: "a",
+			Control:  control,
+		}, start)
+		zfassert.Equal(t, "restorations", reply.Restorations, data.restorations)
+	}
+}
+
 func newFeed(s *testFeedData) *zfcluster.Feed {
 	return newFeedOf(s, "")
 }
--- a/io/zfcluster/message.go
+++ b/io/zfcluster/message.go
@@ -14,6 +14,7 @@
 	"zinniafront/core/zfcontrol"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrestoration"
 	"zinniafront/core/zfrotation"
 )
 
@@ -165,6 +166,8 @@
 	Position int
 	// Wait is set if the sender of the fetch must not enter the rotation yet.
 	Wait bool
+	// Restorations are the data centres that were brought back into service recently.
+	Restorations []zfrestoration.Restoration
 	// Counts are the entry instances of each data centre that report to the replying
 	// instance, in a reply to a control instance.
 	Counts []zfrotation.Count
--- a/io/zfcontrollerloop/feed.go
+++ b/io/zfcontrollerloop/feed.go
@@ -8,6 +8,7 @@
 	"zinniafront/core/zfpermit"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrestoration"
 	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
 	"zinniafront/io/zfevent"
@@ -88,6 +89,11 @@
 	return d.world.Rotation().Counts(now)
 }
 
+// Restorations implements zfcluster.FeedData.
+func (d feedData) Restorations(now time.Time) []zfrestoration.Restoration {
+	return d.world.Restorations(now)
+}
+
 // Controls implements zfcluster.FeedData.
 func (d feedData) Controls(now time.Time) []zfquorum.Node { return d.world.Replica().Nodes(now) }
 
--- a/io/zfcontrollerloop/loop.go
+++ b/io/zfcontrollerloop/loop.go
@@ -356,6 +356,7 @@
 		if reply.Decides {
 			l.config.World.FollowDepartures(reply.Source, reply.Departures, now)
 		}
+		l.config.World.MergeRestorations(reply.Restorations, now)
 		l.config.World.Rotation().SetRemote(zfrotation.Source(reply.Source), reply.Counts, now)
 		l.feed.RecordRemote(from, reply, now)
 	})
--- a/io/zfforwardloop/feed.go
+++ b/io/zfforwardloop/feed.go
@@ -9,6 +9,7 @@
 	zf "zinniafront"
 	"zinniafront/core/zfquorum"
 	"zinniafront/core/zfregistry"
+	"zinniafront/core/zfrestoration"
 	"zinniafront/core/zfrotation"
 	"zinniafront/io/zfcluster"
 )
@@ -81,6 +82,11 @@
 // EntryCounts implements zfcluster.FeedData.
 func (l *Loop) EntryCounts(time.Time) []zfrotation.Count { return nil }
 
+// Restorations implements zfcluster.FeedData.
+func (l *Loop) Restorations(now time.Time) []zfrestoration.Restoration {
+	return l.config.World.Restorations(now)
+}
+
 // Controls implements zfcluster.FeedData.
 func (l *Loop) Controls(time.Time) []zfquorum.Node { return l.quorum.controls }
 
--- a/io/zfforwardloop/loop.go
+++ b/io/zfforwardloop/loop.go
@@ -267,6 +267,7 @@
 		Limits:        reply.Limits,
 		StopPermitted: reply.Turn,
 		Wait:          reply.Wait,
+		Restorations:  reply.Restorations,
 
 		StepOutPermitted: reply.StepOut,
 	}
