--- a/core/zfcontrol/statemachine.go
+++ b/core/zfcontrol/statemachine.go
@@ -383,6 +383,7 @@
 	default:
 		outcome.Status = StatusDone
 	}
+	// With StatusAlready as well: earlier commands may still be on their way.
 	outcome.Sequence = m.nextSequence()
 	m.recordCentre(command.Centre, command.Out, outcome.Sequence)
 	return outcome
--- a/core/zfforward/world.go
+++ b/core/zfforward/world.go
@@ -92,7 +92,8 @@
 	entryCount    int
 	entryPosition int
 	// limitsCold is set if the bundle states such a rate.
-	limitsCold   bool
+	limitsCold bool
+	// restorations holds the data centres whose backend servers count as cold.
 	restorations *zfrestoration.Table
 	stop         plannedStop
 	entry        rotationEntry
