--- /dev/null
+++ b/core/zfcontroller/restoration_test.go
@@ -0,0 +1,41 @@
+package zfcontroller_test
+
+import (
+	"testing"
+	"time"
+
+	zf "zinniafront"
+	"zinniafront/core/zfcontrol"
+	"zinniafront/lab/zfassert"
+)
+
+// TestRestorations guards against an entry instance that starts after a data centre was brought
+// back into service and isn't told so.
+func TestRestorations(t *testing.T) {
+	c := newCluster(t)
+	leader := c.leader(t)
+	c.submit(t, leader, put(1, "a"), false)
+	c.submit(t, leader, takeOut("one", 2), false)
+	c.run(time.Second)
+	out := c.submit(t, leader, nil, false).State.Sequence
+	c.submit(t, leader, zfcontrol.CentreCommand{
+		Centre: "one",
+		AsOf:   out,
+	}, false)
+	c.run(time.Second)
+	for _, world := range c.worlds {
+		restorations := world.Restorations(c.now)
+		zfassert.Equal(t, "restorations", len(restorations), 1)
+		zfassert.Equal(t, "data centre", restorations[0].Centre, zf.CentreName("one"))
+		zfassert.AtMost(t, "age", restorations[0].Age.Seconds(), 1)
+	}
+	t.Run("an instance that started later learns them from others", func(t *testing.T) {
+		started := newCluster(t).worlds[0]
+		started.MergeRestorations(c.worlds[leader].Restorations(c.now), start)
+		zfassert.Equal(t, "restorations", len(started.Restorations(start)), 1)
+	})
+	t.Run("they end", func(t *testing.T) {
+		c.run(3 * time.Second)
+		zfassert.Equal(t, "restorations", len(c.worlds[leader].Restorations(c.now)), 0)
+	})
+}
