--- a/review/standins3/cold.go
+++ b/review/standins3/cold.go
@@ -114,18 +114,18 @@
 func (d *deployment) judgeCold(coldPerS float64) verdict {
 	limit := coldPerS*coldOverage + coldSlack
 	v := verdict{
-		text: fmt.Sprintf("no cold host got more than %.0f flows in a second", limit),
+		text: fmt.Sprintf("no cold host got more than %.4g flows in a second", limit),
 	}
 	for _, h := range d.hosts {
 		most, from := h.mostColdOpenings()
 		if most == 0 {
 			continue
 		}
-		d.run.log("cold host %s in %s got %d flows in the second from %.3f on; allowed are %.0f", h.id, zones[h.zone], most, from.Sub(d.run.start).Seconds(), limit)
+		d.run.log("cold host %s in %s got %d flows in the second from %.3f on; allowed are %.4g", h.id, zones[h.zone], most, from.Sub(d.run.start).Seconds(), limit)
 		if float64(most) > limit {
 			v = verdict{
 				broken: true,
-				text:   fmt.Sprintf("a cold host got %d flows in one second, allowed are %.0f", most, limit),
+				text:   fmt.Sprintf("a cold host got %d flows in one second, allowed are %.4g", most, limit),
 			}
 		}
 	}
@@ -178,3 +178,46 @@
 	d.close()
 	return d.judgeCold(coldPerS), nil
 }
+
+// coldAtRestart replaces half of the hosts of a service by new ones, which are cold. A configuration
+// is acknowledged shortly afterwards, then all processes are killed and start again.
+func coldAtRestart(r *run, trouble bool) (verdict, error) {
+	const coldPerS = 0.6
+	const coldStart = 8 * time.Second
+	d, err := deploy(r, 4, newConfiguration(7, coldStart, coldPerS))
+	if err != nil {
+		return verdict{}, err
+	}
+	if err := d.startHosts(0, 8, 100, 0); err != nil {
+		return verdict{}, err
+	}
+	if err := d.waitReady(); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(7 * time.Second)
+	if err := d.startTraffic(200); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(2 * time.Second)
+	r.log("four new hosts start in %s, cold for %s", zones[0], coldStart)
+	if err := d.startHosts(0, 4, 110, coldStart); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(time.Second)
+	r.log("four of the earlier hosts drain")
+	for _, h := range d.hosts[:4] {
+		h.drain()
+	}
+	time.Sleep(2 * time.Second)
+	if err := d.operator.replace(newConfiguration(9, coldStart, coldPerS), 5*time.Second); err != nil {
+		return verdict{}, err
+	}
+	if trouble {
+		if err := d.restart(append(append([]*process(nil), d.keepers...), d.entries...), time.Second); err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(coldStart)
+	d.close()
+	return d.judgeCold(coldPerS), nil
+}
--- a/review/standins3/operator.go
+++ b/review/standins3/operator.go
@@ -108,7 +108,7 @@
 type service struct {
 	Name, HealthPath, Protocol string
 	MaxConnections             int
-	Tls                        bool //nolint:revive // The platform's name.
+	TLS                        bool `json:"Tls"`
 	ColdStartS, ColdPerS       float64
 }
 
